Run a job end to end through gate, agent and runner

A caller's gang job goes to a gate, to the region's leader, to agents on two workers and their runners, and its whole answer comes back. The roles are state machines without input or output; loops carry out their effects.

--- /dev/null
+++ b/agent.go
@@ -0,0 +1,88 @@
+package lovageroad
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"github.com/lovageroad/lovageroad/internal/agent"
+	"github.com/lovageroad/lovageroad/internal/floor"
+	"github.com/lovageroad/lovageroad/internal/loop"
+	"github.com/lovageroad/lovageroad/internal/peer"
+	"github.com/lovageroad/lovageroad/internal/platform"
+	"github.com/lovageroad/lovageroad/internal/settings"
+	"github.com/lovageroad/lovageroad/internal/upstream"
+	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+// agentRole runs an agent.
+type agentRole struct {
+	settings AgentSettings
+}
+
+// NewAgent returns the role of the process beside an upstream.
+func NewAgent(settings AgentSettings) Role {
+	return &agentRole{settings: settings}
+}
+
+// Run announces the upstream and runs tasks on it.
+func (a *agentRole) Run(ctx context.Context) error {
+	self := machine.Node(a.settings.Peer)
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	store := platform.NewClient(string(a.settings.Platform), newClient())
+	sender := peer.NewSender(inner, self, "http", newClient(), func(string) {})
+	var run *loop.Loop
+	post := func(ctx context.Context, event machine.Event) bool { return run.Post(ctx, event) }
+	driver := upstream.NewDriver(inner, upstream.NewClient(string(a.settings.Upstream), newClient()), store, post)
+	left := make(chan struct{})
+	var once sync.Once
+	handle := func(effect machine.Effect) {
+		if _, ok := effect.(agent.Left); ok {
+			once.Do(func() { close(left) })
+			return
+		}
+		driver.Handle(effect)
+	}
+	core := agent.New(a.worker(), settings.Nodes(a.settings.Gates),
+		agent.WithIncarnation(wire.Incarnation(rand.Uint64())))
+	run = loop.New(self, core, loop.WithStore(store, store), loop.WithSend(sender.Send), loop.WithHandle(handle))
+	own := http.NewServeMux()
+	own.Handle(peer.NewHandler(deliver(inner, post)))
+	private, err := serve(a.settings.Peer, own)
+	if err != nil {
+		return err
+	}
+	defer private.Close()
+	go run.Run(inner)
+	run.Post(inner, agent.Start{})
+	klog.InfoS("agent serves", "peer", a.settings.Peer, "worker", a.settings.Worker)
+	<-ctx.Done()
+	run.Post(inner, agent.Leave{})
+	drain, cancel := context.WithTimeout(inner, a.settings.Drain)
+	defer cancel()
+	select {
+	case <-left:
+	case <-drain.Done():
+		klog.InfoS("agent shut down with tasks running", "worker", a.settings.Worker)
+	}
+	return nil
+}
+
+func (a *agentRole) worker() floor.Worker {
+	return floor.Worker{
+		ID:           a.settings.Worker,
+		Rack:         a.settings.Rack,
+		DataCentre:   a.settings.DataCentre,
+		Region:       a.settings.Region,
+		Accelerators: a.settings.Accelerators,
+		Cores:        a.settings.Cores,
+		Memory:       a.settings.Memory,
+		Slots:        a.settings.Slots,
+		Cooling:      a.settings.Cooling,
+	}
+}
--- /dev/null
+++ b/gate.go
@@ -0,0 +1,68 @@
+package lovageroad
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"k8s.io/klog/v2"
+
+	"github.com/lovageroad/lovageroad/internal/caller"
+	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/internal/loop"
+	"github.com/lovageroad/lovageroad/internal/peer"
+	"github.com/lovageroad/lovageroad/internal/platform"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+// gateRole runs a gate.
+type gateRole struct {
+	settings GateSettings
+}
+
+// NewGate returns the role of an entry VM.
+func NewGate(settings GateSettings) Role {
+	return &gateRole{settings: settings}
+}
+
+// Run serves callers, operators and the system's own processes.
+func (g *gateRole) Run(ctx context.Context) error {
+	self := machine.Node(g.settings.Peer)
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	store := platform.NewClient(string(g.settings.Platform), newClient())
+	sender := peer.NewSender(inner, self, "http", newClient(), func(string) {})
+	var run *loop.Loop
+	callers := caller.New(func(ctx context.Context, event machine.Event) bool {
+		return run.Post(ctx, event)
+	}, store)
+	run = loop.New(self, gate.New(self, g.settings.Region),
+		loop.WithStore(store, store),
+		loop.WithSend(sender.Send),
+		loop.WithHandle(callers.Handle),
+	)
+	router := chi.NewRouter()
+	callers.Routes(router)
+	public, err := serve(g.settings.Listen, router)
+	if err != nil {
+		return err
+	}
+	defer public.Close()
+	own := http.NewServeMux()
+	own.Handle(peer.NewHandler(deliver(inner, run.Post)))
+	private, err := serve(g.settings.Peer, own)
+	if err != nil {
+		return err
+	}
+	defer private.Close()
+	go run.Run(inner)
+	run.Post(inner, gate.Start{})
+	klog.InfoS("gate serves", "listen", g.settings.Listen, "peer", g.settings.Peer, "region", g.settings.Region)
+	<-ctx.Done()
+	drain, cancel := context.WithTimeout(inner, g.settings.Drain)
+	defer cancel()
+	if err := public.Shutdown(drain); err != nil {
+		klog.InfoS("gate shut down with requests open", "reason", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/orders.go
@@ -0,0 +1,165 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/floor"
+	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+func (a *Agent) receive(now time.Time, message machine.Message) {
+	switch m := message.Body.(type) {
+	case wire.Redirect:
+		a.redirect(now, message.From, m)
+	case wire.Fence:
+		a.fence(now, message.From, m)
+	case wire.Reserve:
+		if a.obeys(now, message.From, m.Order) {
+			a.reserve(now, m)
+		}
+	case wire.Run:
+		if a.obeys(now, message.From, m.Order) {
+			a.run(now, m)
+		}
+	case wire.Stop:
+		if a.obeys(now, message.From, m.Order) {
+			a.stop(now, m)
+		}
+	case wire.Settled:
+		if a.obeys(now, message.From, m.Order) {
+			a.settled(now, m)
+		}
+	}
+}
+
+// redirect follows a gate to the leader, unless the gate knows of an older one.
+func (a *Agent) redirect(now time.Time, from machine.Node, m wire.Redirect) {
+	if m.Epoch < a.epoch || m.Leader == "" {
+		return
+	}
+	if from == m.Leader {
+		a.heard = now
+	}
+	if m.Leader != a.leader && m.Epoch > a.epoch {
+		a.send(m.Leader, a.announcement())
+	}
+}
+
+// fence obeys a new leader and tells it all that the agent holds.
+func (a *Agent) fence(now time.Time, from machine.Node, m wire.Fence) {
+	if m.Epoch < a.epoch || m.Revision < a.revision {
+		a.send(from, a.announcement())
+		return
+	}
+	a.epoch = m.Epoch
+	a.revision = m.Revision
+	a.leader = from
+	a.heard = now
+	holding := wire.Holding{
+		Worker:      a.config.Worker,
+		Incarnation: a.config.Incarnation,
+		Epoch:       a.epoch,
+		Leaving:     a.leaving,
+	}
+	for _, t := range sorted(a.tasks) {
+		holding.Tasks = append(holding.Tasks, wire.TaskState{Task: t.id, Share: t.share, Phase: t.phase, Result: t.result})
+	}
+	a.send(from, holding)
+}
+
+// obeys reports whether an order comes from the newest leader, under the newest
+// settings and for this life of the agent. Else its sender is told the epoch.
+func (a *Agent) obeys(now time.Time, from machine.Node, order wire.Order) bool {
+	if order.Epoch != a.epoch || from != a.leader || order.Incarnation != a.config.Incarnation {
+		a.send(from, a.announcement())
+		return false
+	}
+	a.heard = now
+	if order.Revision < a.revision {
+		a.send(from, a.announcement())
+		return false
+	}
+	a.revision = order.Revision
+	return true
+}
+
+func (a *Agent) reserve(_ time.Time, m wire.Reserve) {
+	reply := wire.Reserved{Epoch: a.epoch, Task: m.Task}
+	_, gone := a.stopped[m.Task]
+	_, known := a.tasks[m.Task]
+	switch {
+	case known:
+	case gone:
+		reply.Reason = "the task was stopped"
+	case a.leaving:
+		reply.Reason = "the upstream is leaving"
+	case !a.fits(m.Share):
+		reply.Reason = "the share is not free"
+	default:
+		a.tasks[m.Task] = &task{id: m.Task, share: m.Share, spec: m.Spec, phase: wire.PhaseReserved}
+	}
+	a.send(a.leader, reply)
+}
+
+// fits reports whether a share is free. Shares of ended tasks are free.
+func (a *Agent) fits(share floor.Share) bool {
+	worker := a.config.Worker
+	slots, cores, memory := 1, share.Cores, share.Memory
+	busy := floor.Accelerators(0)
+	for _, t := range a.tasks {
+		if t.phase == wire.PhaseEnded {
+			continue
+		}
+		slots++
+		cores += t.share.Cores
+		memory += t.share.Memory
+		busy |= t.share.Accelerators
+	}
+	all := floor.Accelerators(1)<<worker.Accelerators - 1
+	return share.Accelerators&busy == 0 && share.Accelerators&^all == 0 &&
+		slots <= worker.Slots && cores <= worker.Cores && memory <= worker.Memory
+}
+
+func (a *Agent) run(_ time.Time, m wire.Run) {
+	t, ok := a.tasks[m.Task]
+	if !ok {
+		return
+	}
+	if t.phase == wire.PhaseReserved {
+		t.phase = wire.PhaseRunning
+		a.emit(RunTask{Task: t.id, Share: t.share, Spec: t.spec})
+	}
+	a.send(a.leader, wire.Running{Epoch: a.epoch, Task: t.id})
+}
+
+func (a *Agent) stop(now time.Time, m wire.Stop) {
+	t, ok := a.tasks[m.Task]
+	if !ok {
+		stone, gone := a.stopped[m.Task]
+		if !gone {
+			a.stopped[m.Task] = tombstone{at: now}
+		}
+		a.send(a.leader, wire.Stopped{Epoch: a.epoch, Task: m.Task, Ran: stone.ran})
+		return
+	}
+	switch t.phase {
+	case wire.PhaseRunning:
+		t.stop = true
+		a.emit(StopTask{Task: t.id, Checkpoint: m.Checkpoint})
+	default:
+		a.forget(now, t)
+		a.send(a.leader, wire.Stopped{Epoch: a.epoch, Task: m.Task, Ran: t.phase == wire.PhaseEnded})
+	}
+}
+
+func (a *Agent) settled(now time.Time, m wire.Settled) {
+	if t, ok := a.tasks[m.Task]; ok && t.phase == wire.PhaseEnded {
+		a.forget(now, t)
+	}
+}
+
+func (a *Agent) forget(now time.Time, t *task) {
+	delete(a.tasks, t.id)
+	a.stopped[t.id] = tombstone{at: now, ran: t.phase != wire.PhaseReserved}
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,88 @@
+// Package command is the command line of lovageroad.
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/urfave/cli/v3"
+
+	"github.com/lovageroad/lovageroad"
+	"github.com/lovageroad/lovageroad/internal/settings"
+)
+
+const (
+	// ExitFailure is the exit code of a command that failed.
+	ExitFailure = 1
+
+	// ExitUsage is the exit code of a command whose arguments or settings are
+	// wrong.
+	ExitUsage = 2
+
+	// ExitNotRun is the exit code of a job that did not run.
+	ExitNotRun = 3
+
+	// ExitMayHaveRun is the exit code of a job that may have run and has no
+	// answer.
+	ExitMayHaveRun = 4
+)
+
+// New returns the root command.
+func New() *cli.Command {
+	return &cli.Command{
+		Name:  "lovageroad",
+		Usage: "schedule multi-accelerator jobs under client account guarantees",
+		Commands: []*cli.Command{
+			newGate(),
+			newAgent(),
+			newPlatform(),
+			newDev(),
+			newJob(),
+			newCheck(),
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+}
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return run(ctx, New(), arguments)
+}
+
+func newGate() *cli.Command {
+	return roleCommand("gate", "serve callers and operators on an entry VM, and lead the region when elected", lovageroad.NewGate)
+}
+
+func newAgent() *cli.Command {
+	return roleCommand("agent", "serve beside an upstream and run tasks on its worker", lovageroad.NewAgent)
+}
+
+func newPlatform() *cli.Command {
+	return roleCommand("platform", "stand in for the platform's table service and object store; for tests and dev, keeps nothing", lovageroad.NewPlatform)
+}
+
+// roleCommand returns the command that runs a role with the settings in the
+// section of its name.
+func roleCommand[T any](name, usage string, role func(T) lovageroad.Role) *cli.Command {
+	return &cli.Command{
+		Name:      name,
+		Usage:     usage,
+		ArgsUsage: "FILE",
+		Action: func(ctx context.Context, c *cli.Command) error {
+			path := c.Args().First()
+			if path == "" || c.Args().Len() > 1 {
+				return &UsageError{Reason: name + " takes one settings file"}
+			}
+			values, err := settings.Load[T](path, name)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			return role(values).Run(ctx)
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/dev.go
@@ -0,0 +1,136 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lovageroad/lovageroad"
+	"github.com/lovageroad/lovageroad/internal/account"
+	"github.com/lovageroad/lovageroad/internal/floor"
+	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/internal/platform"
+	"github.com/lovageroad/lovageroad/internal/settings"
+	"github.com/lovageroad/lovageroad/internal/upstream"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+const (
+	devRegion  = "dev"
+	devAccount = "depot"
+	devToken   = "dev-token"
+	devGates   = 2
+	devAgents  = 4
+	devPort    = 7100
+	devDrain   = 5 * time.Second
+)
+
+func newDev() *cli.Command {
+	return &cli.Command{
+		Name:  "dev",
+		Usage: "run a platform stand-in, two gates and four agents with fake runners in one process on loopback",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "port", Value: devPort, Usage: "first of the `port`s that are used"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return runDev(ctx, c)
+		},
+	}
+}
+
+func runDev(ctx context.Context, c *cli.Command) error {
+	port := c.Int("port")
+	next := func() settings.Address {
+		address := settings.Address(fmt.Sprintf("127.0.0.1:%d", port))
+		port++
+		return address
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	public := []settings.Address{next(), next()}
+	peers := []settings.Address{next(), next()}
+	platformAddress := next()
+	platformURL := settings.URL("http://" + string(platformAddress))
+	group.Go(func() error {
+		return lovageroad.NewPlatform(lovageroad.PlatformSettings{Listen: platformAddress}).Run(ctx)
+	})
+	if err := seed(ctx, platformURL); err != nil {
+		return err
+	}
+	for i := range devGates {
+		values := lovageroad.GateSettings{
+			Listen: public[i], Peer: peers[i], Region: devRegion, Platform: platformURL,
+			Gates: peers, Drain: devDrain, Place: "dc-1",
+		}
+		group.Go(func() error { return lovageroad.NewGate(values).Run(ctx) })
+	}
+	for i := range devAgents {
+		runner, own := next(), next()
+		values := lovageroad.AgentSettings{
+			Peer: own, Region: devRegion, DataCentre: "dc-1",
+			Rack:         floor.RackID(fmt.Sprintf("rack-%d", i/2+1)),
+			Worker:       floor.WorkerID(fmt.Sprintf("worker-%d", i+1)),
+			Accelerators: 8, Cores: 32, Memory: 64 << 10, Slots: 8,
+			Gates: peers, Upstream: settings.URL("http://" + string(runner)), Platform: platformURL, Drain: devDrain,
+		}
+		group.Go(func() error { return serveFake(ctx, runner) })
+		group.Go(func() error { return lovageroad.NewAgent(values).Run(ctx) })
+	}
+	out := c.Root().Writer
+	fmt.Fprintf(out, "gates      http://%s http://%s\n", public[0], public[1])
+	fmt.Fprintf(out, "platform   %s (stand-in)\n", platformURL)
+	fmt.Fprintf(out, "workers    %d with 8 accelerators each, in 2 racks\n", devAgents)
+	fmt.Fprintf(out, "try        go run ./cmd/lovageroad job submit --gate http://%s --account %s --token %s --workers 2 --accelerators 4 --adjacency rack --idempotent --input 'sleep 1s' --wait 30\n",
+		public[0], devAccount, devToken)
+	return group.Wait()
+}
+
+// seed makes an account, once the stand-in answers.
+func seed(ctx context.Context, base settings.URL) error {
+	store := platform.NewClient(string(base), http.DefaultClient)
+	entry := account.Account{
+		Name:       devAccount,
+		Region:     devRegion,
+		Parameters: account.DefaultParameters(),
+		Tokens:     []account.TokenHash{account.HashToken(devToken)},
+	}
+	value, err := json.Marshal(entry)
+	if err != nil {
+		return err
+	}
+	txn := table.Txn{Writes: []table.Write{{Key: gate.AccountKey(devRegion, devAccount), Value: value}}}
+	for range 50 {
+		if _, err = store.Commit(ctx, txn); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	return err
+}
+
+func serveFake(ctx context.Context, address settings.Address) error {
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: upstream.NewFake().Handler(), ReadHeaderTimeout: lovageroad.HeaderTimeout}
+	go func() {
+		<-ctx.Done()
+		if err := server.Close(); err != nil {
+			return
+		}
+	}()
+	if err := server.Serve(listener); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,189 @@
+// Package loop runs a machine in a process: it feeds the machine events one at
+// a time and carries its effects out on sockets, the platform and timers.
+package loop
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+const (
+	// DefaultStoreTimeout bounds one operation of the platform's services.
+	DefaultStoreTimeout = 3 * time.Second
+
+	// MaxEvents is the number of events that wait for the machine.
+	MaxEvents = 1 << 14
+)
+
+type (
+	// Config holds what surrounds a machine.
+	Config struct {
+		Self         machine.Node
+		Table        table.Table
+		Objects      table.Objects
+		Send         func(to machine.Node, body any)
+		Handle       func(effect machine.Effect)
+		StoreTimeout time.Duration
+	}
+
+	// Option sets a field of a Config.
+	Option func(*Config)
+
+	// Loop runs one machine.
+	Loop struct {
+		config  Config
+		machine machine.Machine
+		events  chan machine.Event
+		wake    time.Time
+		timer   *time.Timer
+		ctx     context.Context
+	}
+)
+
+// WithStore sets the platform's services.
+func WithStore(t table.Table, objects table.Objects) Option {
+	return func(c *Config) { c.Table, c.Objects = t, objects }
+}
+
+// WithSend sets the function that sends a message to another process.
+func WithSend(send func(to machine.Node, body any)) Option {
+	return func(c *Config) { c.Send = send }
+}
+
+// WithHandle sets the function that carries out the effects that package
+// machine does not define. It must not block.
+func WithHandle(handle func(effect machine.Effect)) Option {
+	return func(c *Config) { c.Handle = handle }
+}
+
+// WithStoreTimeout sets the bound of one operation of the platform's services.
+func WithStoreTimeout(timeout time.Duration) Option {
+	return func(c *Config) { c.StoreTimeout = timeout }
+}
+
+// New returns a loop for the machine of the process self.
+func New(self machine.Node, m machine.Machine, options ...Option) *Loop {
+	config := Config{
+		Self:         self,
+		Send:         func(machine.Node, any) {},
+		Handle:       func(machine.Effect) {},
+		StoreTimeout: DefaultStoreTimeout,
+	}
+	for _, option := range options {
+		option(&config)
+	}
+	return &Loop{config: config, machine: m, events: make(chan machine.Event, MaxEvents)}
+}
+
+// Post hands an event to the machine. It blocks while too many events wait and
+// returns false if the context ends first.
+func (l *Loop) Post(ctx context.Context, event machine.Event) bool {
+	select {
+	case l.events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Run feeds the machine until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	l.ctx = ctx
+	l.timer = time.NewTimer(0)
+	defer l.timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-l.events:
+			l.step(event)
+		case <-l.timer.C:
+			l.wake = time.Time{}
+			l.step(machine.Tick{})
+		}
+	}
+}
+
+func (l *Loop) step(event machine.Event) {
+	pending := []machine.Event{event}
+	for len(pending) > 0 {
+		effects := l.machine.Step(time.Now(), pending[0])
+		pending = pending[1:]
+		for _, effect := range effects {
+			if local, ok := l.carry(effect); ok {
+				pending = append(pending, local)
+			}
+		}
+	}
+}
+
+// carry carries an effect out. A message to the process itself is returned as
+// an event.
+func (l *Loop) carry(effect machine.Effect) (machine.Event, bool) {
+	switch e := effect.(type) {
+	case machine.Send:
+		if e.To == l.config.Self {
+			return machine.Message{From: e.To, Body: e.Body}, true
+		}
+		l.config.Send(e.To, e.Body)
+	case machine.Wake:
+		l.schedule(e.At)
+	case machine.Commit, machine.Read, machine.Scan, machine.Put, machine.Get:
+		go l.store(effect)
+	default:
+		l.config.Handle(effect)
+	}
+	return nil, false
+}
+
+func (l *Loop) schedule(at time.Time) {
+	if !l.wake.IsZero() && !at.Before(l.wake) {
+		return
+	}
+	l.wake = at
+	l.timer.Reset(time.Until(at))
+}
+
+func (l *Loop) store(effect machine.Effect) {
+	ctx, cancel := context.WithTimeout(l.ctx, l.config.StoreTimeout)
+	defer cancel()
+	result := Carry(ctx, l.config.Table, l.config.Objects, effect)
+	l.Post(l.ctx, result)
+}
+
+// Carry carries a store effect out and returns its result.
+func Carry(ctx context.Context, t table.Table, objects table.Objects, effect machine.Effect) machine.Stored {
+	var result machine.Stored
+	switch e := effect.(type) {
+	case machine.Commit:
+		result.ID = e.ID
+		var version table.Version
+		version, result.Err = t.Commit(ctx, e.Txn)
+		result.Rows = written(e.Txn, version)
+	case machine.Read:
+		result.ID = e.ID
+		result.Rows, result.Err = t.Read(ctx, e.Keys)
+	case machine.Scan:
+		result.ID = e.ID
+		result.Rows, result.Err = t.Scan(ctx, e.Prefix, e.After, e.Limit)
+	case machine.Put:
+		result.ID = e.ID
+		result.Err = objects.Put(ctx, e.Name, e.Data)
+	case machine.Get:
+		result.ID = e.ID
+		result.Data, result.Err = objects.Get(ctx, e.Name)
+	}
+	return result
+}
+
+// written returns the rows that a transaction wrote, at their new version.
+func written(txn table.Txn, version table.Version) []table.Row {
+	rows := make([]table.Row, 0, len(txn.Writes))
+	for _, write := range txn.Writes {
+		rows = append(rows, table.Row{Key: write.Key, Version: version, Value: write.Value})
+	}
+	return rows
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,116 @@
+// Package scheduler decides which job starts where and when, who is reclaimed,
+// and what is refused.
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/account"
+	"github.com/lovageroad/lovageroad/internal/floor"
+	"github.com/lovageroad/lovageroad/internal/job"
+)
+
+type (
+	// Job is what a policy knows of a job.
+	Job struct {
+		ID         job.ID
+		Account    account.Name
+		Class      account.Class
+		Shape      floor.Shape
+		Checkpoint bool
+		Idempotent bool
+		Expected   time.Duration
+		Submitted  time.Time
+	}
+
+	// Start is a decision to start a job.
+	Start struct {
+		Job       job.ID
+		Placement floor.Placement
+	}
+
+	// Reclaim is a decision to stop a running job, or one being started, so that
+	// its place can be used by another. The job waits again.
+	Reclaim struct {
+		Job        job.ID
+		Grace      time.Duration
+		Checkpoint bool
+	}
+
+	// Decision is a Start or a Reclaim.
+	Decision any
+
+	// Outcome is how the run of a job ended, as far as the policy learns from it.
+	Outcome struct {
+		Failed  bool
+		Blamed  floor.WorkerID
+		Elapsed time.Duration
+	}
+
+	// Policy holds the floor, the accounts and the jobs of one region, and
+	// decides. It has no input or output.
+	Policy interface {
+		// AddWorker adds a worker, or replaces its description.
+		AddWorker(worker floor.Worker)
+
+		// DrainWorker keeps a worker from new work. Its running jobs stay.
+		DrainWorker(id floor.WorkerID)
+
+		// RemoveWorker removes a worker that is lost. Jobs on it must be ended or
+		// requeued by the caller.
+		RemoveWorker(id floor.WorkerID)
+
+		// SetAccounts replaces all accounts.
+		SetAccounts(accounts []account.Account)
+
+		// CheckAccounts returns a GuaranteeError if the floor cannot hold the
+		// guarantees of the accounts.
+		CheckAccounts(accounts []account.Account) error
+
+		// Admit adds a waiting job. It returns a RefusedError if the job can
+		// never run or exceeds the queue limit.
+		Admit(now time.Time, entry Job) error
+
+		// Restore adds a job that was admitted under a former leader. A nil
+		// placement is that of a waiting job. The workers of a placement may be
+		// added later.
+		Restore(now time.Time, entry Job, placement floor.Placement)
+
+		// Requeue makes a started job wait again at its old place in the order.
+		Requeue(now time.Time, id job.ID, outcome Outcome)
+
+		// Remove forgets a job that ended or was cancelled, and frees its place.
+		Remove(now time.Time, id job.ID, outcome Outcome)
+
+		// Decide returns the decisions due, and takes each for carried out.
+		Decide(now time.Time) []Decision
+
+		// Wake returns the time at which Decide is due though nothing else
+		// happens, or the zero time.
+		Wake() time.Time
+	}
+
+	// RefusedError says why a job is not admitted.
+	RefusedError struct {
+		Field  string
+		Reason string
+		Never  bool
+	}
+
+	// GuaranteeError says which guarantee the floor cannot hold.
+	GuaranteeError struct {
+		Account account.Name
+		Shape   floor.Shape
+		Count   int
+	}
+)
+
+func (e *RefusedError) Error() string {
+	return e.Reason
+}
+
+func (e *GuaranteeError) Error() string {
+	return fmt.Sprintf("the floor cannot hold %d of %d workers with %d accelerators each for account %s",
+		e.Count, e.Shape.Workers, e.Shape.Accelerators, e.Account)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,219 @@
+// Package settings reads the settings of each role from INI files.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/lovageroad/lovageroad/internal/floor"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+type (
+	// Address is an IP number and a port.
+	Address string
+
+	// URL is the base of an HTTP interface.
+	URL string
+
+	// Gate holds the settings of an entry VM.
+	Gate struct {
+		Listen   Address            `ini:"listen" help:"address for callers and operators"`
+		Peer     Address            `ini:"peer" help:"address for the system's own processes"`
+		Region   floor.RegionID     `ini:"region" help:"region that this gate serves"`
+		Platform URL                `ini:"platform" help:"base URL of the table service and object store"`
+		Gates    []Address          `ini:"gates" help:"peer addresses of all gates of the region"`
+		Drain    time.Duration      `ini:"drain" default:"30s" help:"longest time of a graceful shutdown"`
+		Place    floor.DataCentreID `ini:"datacentre" help:"data centre of this VM"`
+	}
+
+	// Agent holds the settings of the process beside an upstream.
+	Agent struct {
+		Peer         Address            `ini:"peer" help:"address for the system's own processes"`
+		Region       floor.RegionID     `ini:"region" help:"region of the worker"`
+		DataCentre   floor.DataCentreID `ini:"datacentre" help:"data centre of the worker"`
+		Rack         floor.RackID       `ini:"rack" help:"rack of the worker"`
+		Worker       floor.WorkerID     `ini:"worker" help:"name of the worker, unique in its region"`
+		Accelerators int                `ini:"accelerators" help:"number of accelerators"`
+		Cores        int                `ini:"cores" help:"number of cores"`
+		Memory       floor.MiB          `ini:"memory" help:"memory, such as 64GiB"`
+		Slots        int                `ini:"slots" default:"8" help:"tasks at a time"`
+		Cooling      floor.Watts        `ini:"cooling" default:"0" help:"cooling that a busy worker draws, in watts"`
+		Gates        []Address          `ini:"gates" help:"peer addresses of the gates"`
+		Upstream     URL                `ini:"upstream" help:"base URL of the runner"`
+		Platform     URL                `ini:"platform" help:"base URL of the table service and object store"`
+		Drain        time.Duration      `ini:"drain" default:"5m" help:"longest time of a graceful shutdown"`
+	}
+
+	// Platform holds the settings of the stand-in for the platform.
+	Platform struct {
+		Listen Address `ini:"listen" help:"address of the stand-in"`
+	}
+
+	// KeyError says which key of which section of a file is wrong.
+	KeyError struct {
+		File    string
+		Section string
+		Key     string
+		Reason  string
+	}
+)
+
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("%s: section [%s], key %s: %s", e.File, e.Section, e.Key, e.Reason)
+}
+
+// Nodes returns addresses as nodes.
+func Nodes(addresses []Address) []machine.Node {
+	nodes := make([]machine.Node, 0, len(addresses))
+	for _, a := range addresses {
+		nodes = append(nodes, machine.Node(a))
+	}
+	return nodes
+}
+
+// Sections returns the names of the sections of a file, one for each role.
+func Sections(path string) ([]string, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return nil, &KeyError{File: path, Section: "", Key: "", Reason: err.Error()}
+	}
+	var names []string
+	for _, section := range file.Sections() {
+		if section.Name() != ini.DefaultSection || len(section.Keys()) > 0 {
+			names = append(names, section.Name())
+		}
+	}
+	return names, nil
+}
+
+// Load reads the section of a role from a file. It returns a KeyError that names
+// the file, section and key of what is unknown, missing or malformed.
+func Load[T any](path, section string) (T, error) {
+	var settings T
+	file, err := ini.Load(path)
+	if err != nil {
+		return settings, &KeyError{File: path, Section: section, Reason: err.Error()}
+	}
+	if !file.HasSection(section) {
+		return settings, &KeyError{File: path, Section: section, Reason: "the section is missing"}
+	}
+	values := file.Section(section)
+	target := reflect.ValueOf(&settings).Elem()
+	known := make(map[string]bool)
+	for i := range target.NumField() {
+		field := target.Type().Field(i)
+		key := field.Tag.Get("ini")
+		known[key] = true
+		text := strings.TrimSpace(values.Key(key).String())
+		if text == "" {
+			text = field.Tag.Get("default")
+		}
+		if text == "" {
+			return settings, &KeyError{File: path, Section: section, Key: key, Reason: "is missing: " + field.Tag.Get("help")}
+		}
+		if err := set(target.Field(i), text); err != nil {
+			return settings, &KeyError{File: path, Section: section, Key: key, Reason: err.Error()}
+		}
+	}
+	for _, key := range values.KeyStrings() {
+		if !known[key] {
+			return settings, &KeyError{File: path, Section: section, Key: key, Reason: "is not known"}
+		}
+	}
+	return settings, nil
+}
+
+// Lines returns the settings as lines of an INI file, each with its help.
+func Lines[T any](settings T) []string {
+	value := reflect.ValueOf(settings)
+	var lines []string
+	for i := range value.NumField() {
+		field := value.Type().Field(i)
+		text := fmt.Sprint(value.Field(i).Interface())
+		text = strings.Trim(text, "[]")
+		lines = append(lines, fmt.Sprintf("%s = %s ; %s", field.Tag.Get("ini"), text, field.Tag.Get("help")))
+	}
+	return lines
+}
+
+func set(field reflect.Value, text string) error {
+	switch target := field.Addr().Interface().(type) {
+	case *Address:
+		return setAddress(target, text)
+	case *[]Address:
+		for _, part := range strings.Split(text, ",") {
+			var a Address
+			if err := setAddress(&a, strings.TrimSpace(part)); err != nil {
+				return err
+			}
+			*target = append(*target, a)
+		}
+	case *URL:
+		parsed, err := url.Parse(text)
+		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+			return fmt.Errorf("%q is not an http or https URL", text)
+		}
+		*target = URL(strings.TrimRight(text, "/"))
+	case *time.Duration:
+		duration, err := time.ParseDuration(text)
+		if err != nil || duration <= 0 {
+			return fmt.Errorf("%q is not a duration above zero, such as 30s", text)
+		}
+		*target = duration
+	case *floor.MiB:
+		memory, err := parseMemory(text)
+		if err != nil {
+			return err
+		}
+		*target = memory
+	default:
+		return setPlain(field, text)
+	}
+	return nil
+}
+
+func setPlain(field reflect.Value, text string) error {
+	if field.Kind() == reflect.String {
+		field.SetString(text)
+		return nil
+	}
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || number < 0 {
+		return fmt.Errorf("%q is not a whole number from zero", text)
+	}
+	field.SetInt(number)
+	return nil
+}
+
+func setAddress(target *Address, text string) error {
+	parsed, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return fmt.Errorf("%q is not an IP number and port, such as 10.0.0.5:7100", text)
+	}
+	*target = Address(parsed.String())
+	return nil
+}
+
+func parseMemory(text string) (floor.MiB, error) {
+	units := []struct {
+		suffix string
+		factor floor.MiB
+	}{{"MiB", 1}, {"GiB", 1 << 10}, {"TiB", 1 << 20}}
+	for _, unit := range units {
+		if digits, ok := strings.CutSuffix(text, unit.suffix); ok {
+			number, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 32)
+			if err == nil && number > 0 {
+				return floor.MiB(number) * unit.factor, nil
+			}
+		}
+	}
+	return 0, fmt.Errorf("%q is not an amount of memory, such as 64GiB", text)
+}
