--- a/internal/scheduler/firstfit.go
+++ b/internal/scheduler/firstfit.go
@@ -130,6 +130,31 @@
 	return decisions
 }
 
+func (f *firstFit) SetBudgets([]Budget) {}
+
+func (f *firstFit) Report(time.Time, floor.WorkerID, floor.Watts) {}
+
+func (f *firstFit) Explain(_ time.Time, id job.ID) (Explanation, bool) {
+	for i, q := range f.queue {
+		if q.ID == id {
+			return Explanation{Job: id, Waiting: true, Place: i + 1, Reason: "jobs before it wait"}, true
+		}
+	}
+	_, ok := f.running[id]
+	return Explanation{Job: id}, ok
+}
+
+func (f *firstFit) Overview(time.Time) Overview {
+	var overview Overview
+	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
+		u := f.workers[id]
+		overview.Workers = append(overview.Workers, WorkerState{
+			Worker: u.worker, Busy: u.busy, Cores: u.cores, Memory: u.memory, Slots: u.slots, Draining: u.drain,
+		})
+	}
+	return overview
+}
+
 func (f *firstFit) Wake() time.Time {
 	return time.Time{}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -38,9 +38,64 @@
 		Checkpoint bool
 	}
 
-	// Decision is a Start or a Reclaim.
+	// Throttle is a decision to slow a running job down, or to let it run at full
+	// speed again, so that a cooling budget is kept.
+	Throttle struct {
+		Job  job.ID
+		Slow bool
+	}
+
+	// Decision is a Start, a Reclaim or a Throttle.
 	Decision any
 
+	// Budget is the cooling that the workers of a cell may draw together. An
+	// empty rack stands for the whole data centre, an empty data centre for the
+	// whole region.
+	Budget struct {
+		DataCentre floor.DataCentreID `json:"datacentre,omitempty"`
+		Rack       floor.RackID       `json:"rack,omitempty"`
+		Cooling    floor.Watts        `json:"cooling"`
+	}
+
+	// Explanation says why a job waits.
+	Explanation struct {
+		Job      job.ID    `json:"job"`
+		Waiting  bool      `json:"waiting"`
+		Place    int       `json:"place"`
+		Reason   string    `json:"reason"`
+		Blockers []job.ID  `json:"blockers,omitempty"`
+		Reserved time.Time `json:"reserved,omitzero"`
+	}
+
+	// WorkerState is what a policy holds of a worker.
+	WorkerState struct {
+		Worker      floor.Worker       `json:"worker"`
+		Busy        floor.Accelerators `json:"busy"`
+		Cores       int                `json:"cores"`
+		Memory      floor.MiB          `json:"memory"`
+		Slots       int                `json:"slots"`
+		Draining    bool               `json:"draining,omitempty"`
+		Quarantined bool               `json:"quarantined,omitempty"`
+		Jobs        []job.ID           `json:"jobs,omitempty"`
+	}
+
+	// QueueState is what a policy holds of an account.
+	QueueState struct {
+		Account account.Name `json:"account"`
+		Waiting int          `json:"waiting"`
+		Running int          `json:"running"`
+		AtRisk  int          `json:"risk"`
+	}
+
+	// Overview is the state of a policy, for operators. AtRisk counts guaranteed
+	// shapes that failed workers have broken. Fragmentation is the share of free
+	// accelerators that cannot serve the largest waiting shape.
+	Overview struct {
+		Workers       []WorkerState `json:"workers"`
+		Queues        []QueueState  `json:"queues"`
+		Fragmentation float64       `json:"fragmentation"`
+	}
+
 	// Outcome is how the run of a job ended, as far as the policy learns from it.
 	Outcome struct {
 		Failed  bool
@@ -86,6 +141,18 @@
 		// Decide returns the decisions due, and takes each for carried out.
 		Decide(now time.Time) []Decision
 
+		// SetBudgets replaces all cooling budgets.
+		SetBudgets(budgets []Budget)
+
+		// Report takes what a worker drew at a time. Reports lag.
+		Report(at time.Time, id floor.WorkerID, draw floor.Watts)
+
+		// Explain says why a job waits. It returns false if the job is unknown.
+		Explain(now time.Time, id job.ID) (Explanation, bool)
+
+		// Overview returns the state for operators.
+		Overview(now time.Time) Overview
+
 		// Wake returns the time at which Decide is due though nothing else
 		// happens, or the zero time.
 		Wake() time.Time
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"time"
+
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
@@ -61,6 +63,7 @@
 		Epoch       lease.Epoch  `cbor:"3,keyasint"`
 		Revision    Revision     `cbor:"4,keyasint"`
 		Leaving     bool         `cbor:"5,keyasint,omitempty"`
+		Draw        floor.Watts  `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Redirect answers an Announce: it names the leader of the worker's region.
@@ -123,11 +126,20 @@
 		Task  TaskID      `cbor:"2,keyasint"`
 	}
 
-	// Stop tells an agent to stop a task, or to release its share.
+	// Stop tells an agent to stop a task, or to release its share. A task that
+	// runs gets the grace to make a checkpoint, and is stopped when it is over.
 	Stop struct {
-		Order      Order  `cbor:"1,keyasint"`
-		Task       TaskID `cbor:"2,keyasint"`
-		Checkpoint bool   `cbor:"3,keyasint,omitempty"`
+		Order      Order         `cbor:"1,keyasint"`
+		Task       TaskID        `cbor:"2,keyasint"`
+		Checkpoint bool          `cbor:"3,keyasint,omitempty"`
+		Grace      time.Duration `cbor:"4,keyasint,omitempty"`
+	}
+
+	// Throttle tells an agent to slow a task down or to let it run at full speed.
+	Throttle struct {
+		Order Order  `cbor:"1,keyasint"`
+		Task  TaskID `cbor:"2,keyasint"`
+		Slow  bool   `cbor:"3,keyasint"`
 	}
 
 	// Stopped answers a Stop: the task does not run any more. Ran says whether it
@@ -196,4 +208,5 @@
 	Register[Watch](14)
 	Register[Status](15)
 	Register[Cancel](16)
+	Register[Throttle](17)
 }
