Serve metrics and log changes of state

Cause: nothing told how long jobs of an account and class waited or ran. The gate's machine reports ends, refusals, workers and leadership as effects; the loop reports operations of the store.

--- a/gate.go
+++ b/gate.go
@@ -12,6 +12,7 @@
 	"github.com/lovageroad/lovageroad/internal/loop"
 	"github.com/lovageroad/lovageroad/internal/peer"
 	"github.com/lovageroad/lovageroad/internal/platform"
+	"github.com/lovageroad/lovageroad/internal/prom"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
@@ -31,7 +32,8 @@
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	store := platform.NewClient(string(g.settings.Platform), newClient())
-	sender := peer.NewSender(inner, self, "http", newClient(), func(string) {})
+	metrics := prom.NewGate()
+	sender := peer.NewSender(inner, self, "http", newClient(), metrics.Dropped)
 	var run *loop.Loop
 	callers := caller.New(func(ctx context.Context, event machine.Event) bool {
 		return run.Post(ctx, event)
@@ -39,10 +41,17 @@
 	run = loop.New(self, gate.New(self, g.settings.Region),
 		loop.WithStore(store, store),
 		loop.WithSend(sender.Send),
-		loop.WithHandle(callers.Handle),
+		loop.WithObserve(metrics.Store),
+		loop.WithHandle(func(effect machine.Effect) {
+			metrics.Observe(effect)
+			prom.Log(effect)
+			callers.Handle(effect)
+		}),
 	)
 	router := chi.NewRouter()
 	callers.Routes(router)
+	router.Handle("/metrics", metrics.Handler())
+	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	public, err := serve(g.settings.Listen, router)
 	if err != nil {
 		return err
--- a/internal/gate/front.go
+++ b/internal/gate/front.go
@@ -83,6 +83,7 @@
 func (f *front) deny(id RequestID, name account.Name, token account.TokenHash) error {
 	err := f.gate.directory.check(name, token)
 	if err != nil {
+		f.gate.observeError("", err)
 		f.gate.emit(Reply{Request: id, Err: err})
 	}
 	return err
@@ -234,6 +235,7 @@
 		return
 	}
 	delete(f.requests, r.id)
+	f.gate.observeError(r.account, err)
 	f.gate.emit(Reply{Request: r.id, Record: record, Err: err})
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -148,7 +148,10 @@
 	g := &Gate{config: config, node: node, store: machine.NewStore()}
 	g.front = newFront(g)
 	g.directory = newDirectory(g)
-	g.elector = lease.NewElector(leaseKey(region), node, g.store, config.Lease...)
+	changed := lease.WithChanged(func(current lease.Lease, held bool) {
+		g.emit(LeadershipChanged{Leader: current.Holder, Epoch: current.Epoch, Held: held})
+	})
+	g.elector = lease.NewElector(leaseKey(region), node, g.store, append(config.Lease, changed)...)
 	return g
 }
 
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -134,6 +134,7 @@
 		e.record.Never = refused.Never
 		e.record.Ended = now
 		e.ended = now
+		l.gate.observeEnd(e.record)
 	}
 	l.save(now, e)
 }
--- a/internal/gate/save.go
+++ b/internal/gate/save.go
@@ -150,6 +150,7 @@
 	e.record.Spec.Input = nil
 	e.ended = now
 	l.policy.Remove(now, e.record.ID, outcomeOf(e.record))
+	l.gate.observeEnd(e.record)
 	l.save(now, e)
 }
 
--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -26,6 +26,7 @@
 	if m.Leaving && !u.leaving {
 		u.leaving = true
 		l.policy.DrainWorker(u.worker.ID)
+		l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerLeaving})
 	}
 }
 
@@ -42,6 +43,7 @@
 	u.fenced = true
 	u.worker = m.Worker
 	l.policy.AddWorker(u.worker)
+	l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerJoined})
 	if m.Leaving {
 		u.leaving = true
 		l.policy.DrainWorker(u.worker.ID)
@@ -88,6 +90,7 @@
 // member.
 func (l *leader) lose(now time.Time, u *upstream) {
 	delete(l.workers, u.worker.ID)
+	l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerLost})
 	l.policy.RemoveWorker(u.worker.ID)
 	for _, e := range l.entries() {
 		if e.attempt == nil {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/lovageroad/lovageroad/pkg/machine"
@@ -26,6 +27,7 @@
 		Objects      table.Objects
 		Send         func(to machine.Node, body any)
 		Handle       func(effect machine.Effect)
+		Observe      func(operation, outcome string, elapsed time.Duration)
 		StoreTimeout time.Duration
 	}
 
@@ -59,6 +61,12 @@
 	return func(c *Config) { c.Handle = handle }
 }
 
+// WithObserve sets a function that is told of each operation of the platform's
+// services.
+func WithObserve(observe func(operation, outcome string, elapsed time.Duration)) Option {
+	return func(c *Config) { c.Observe = observe }
+}
+
 // WithStoreTimeout sets the bound of one operation of the platform's services.
 func WithStoreTimeout(timeout time.Duration) Option {
 	return func(c *Config) { c.StoreTimeout = timeout }
@@ -70,6 +78,7 @@
 		Self:         self,
 		Send:         func(machine.Node, any) {},
 		Handle:       func(machine.Effect) {},
+		Observe:      func(string, string, time.Duration) {},
 		StoreTimeout: DefaultStoreTimeout,
 	}
 	for _, option := range options {
@@ -150,7 +159,9 @@
 func (l *Loop) store(effect machine.Effect) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.config.StoreTimeout)
 	defer cancel()
+	begun := time.Now()
 	result := Carry(ctx, l.config.Table, l.config.Objects, effect)
+	l.config.Observe(operationOf(effect), outcomeOf(result.Err), time.Since(begun))
 	l.Post(l.ctx, result)
 }
 
@@ -187,3 +198,38 @@
 	}
 	return rows
 }
+
+func operationOf(effect machine.Effect) string {
+	switch effect.(type) {
+	case machine.Commit:
+		return "commit"
+	case machine.Read:
+		return "read"
+	case machine.Scan:
+		return "scan"
+	case machine.Put:
+		return "put"
+	default:
+		return "get"
+	}
+}
+
+func outcomeOf(err error) string {
+	var (
+		conflict *table.ConflictError
+		rejected *table.RejectedError
+		missing  *table.NotFoundError
+	)
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.As(err, &rejected):
+		return "rejected"
+	case errors.As(err, &missing):
+		return "missing"
+	default:
+		return "uncertain"
+	}
+}
--- /dev/null
+++ b/internal/prom/log.go
@@ -0,0 +1,18 @@
+package prom
+
+import (
+	"k8s.io/klog/v2"
+
+	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+// Log writes a line for an effect that is a change of state.
+func Log(effect machine.Effect) {
+	switch e := effect.(type) {
+	case gate.LeadershipChanged:
+		klog.InfoS("leadership changed", "leader", e.Leader, "epoch", e.Epoch, "held", e.Held)
+	case gate.WorkerChanged:
+		klog.InfoS("worker changed", "worker", e.Worker, "change", e.Change)
+	}
+}
