Show operators the state of a region and why a job waits

A gate asks the leader, whoever that is, and answers as JSON (GET /v1/status, /v1/explanations/ID), as commands (status, job explain) and as a page on /.

--- a/gate.go
+++ b/gate.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/lovageroad/lovageroad/internal/caller"
+	"github.com/lovageroad/lovageroad/internal/console"
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/loop"
 	"github.com/lovageroad/lovageroad/internal/peer"
@@ -35,9 +36,9 @@
 	metrics := prom.NewGate()
 	sender := peer.NewSender(inner, self, "http", newClient(), metrics.Dropped)
 	var run *loop.Loop
-	callers := caller.New(func(ctx context.Context, event machine.Event) bool {
-		return run.Post(ctx, event)
-	}, store)
+	post := func(ctx context.Context, event machine.Event) bool { return run.Post(ctx, event) }
+	callers := caller.New(post, store)
+	operators := console.New(post)
 	run = loop.New(self, gate.New(self, g.settings.Region),
 		loop.WithStore(store, store),
 		loop.WithSend(sender.Send),
@@ -46,10 +47,12 @@
 			metrics.Observe(effect)
 			prom.Log(effect)
 			callers.Handle(effect)
+			operators.Handle(effect)
 		}),
 	)
 	router := chi.NewRouter()
 	callers.Routes(router)
+	operators.Routes(router)
 	router.Handle("/metrics", metrics.Handler())
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	public, err := serve(g.settings.Listen, router)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -15,6 +14,7 @@
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/job"
+	"github.com/lovageroad/lovageroad/internal/loop"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
@@ -35,16 +35,10 @@
 )
 
 type (
-	// Post hands an event to the gate's machine.
-	Post func(ctx context.Context, event machine.Event) bool
-
 	// Server serves callers.
 	Server struct {
-		post    Post
-		objects table.Objects
-		mu      sync.Mutex
-		last    gate.RequestID
-		waiting map[gate.RequestID]chan gate.Reply
+		objects  table.Objects
+		exchange *loop.Exchange[gate.RequestID, gate.Reply]
 	}
 
 	jobBody struct {
@@ -64,8 +58,8 @@
 )
 
 // New returns a server that hands requests to the gate by post.
-func New(post Post, objects table.Objects) *Server {
-	return &Server{post: post, objects: objects, waiting: make(map[gate.RequestID]chan gate.Reply)}
+func New(post func(ctx context.Context, event machine.Event) bool, objects table.Objects) *Server {
+	return &Server{objects: objects, exchange: loop.NewExchange[gate.RequestID, gate.Reply](post)}
 }
 
 // Routes adds the routes for callers.
@@ -78,15 +72,8 @@
 
 // Handle passes a reply of the gate to the request that waits for it.
 func (s *Server) Handle(effect machine.Effect) {
-	reply, ok := effect.(gate.Reply)
-	if !ok {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if waiting, ok := s.waiting[reply.Request]; ok {
-		delete(s.waiting, reply.Request)
-		waiting <- reply
+	if reply, ok := effect.(gate.Reply); ok {
+		s.exchange.Answer(reply.Request, reply)
 	}
 }
 
@@ -174,30 +161,7 @@
 // ask hands a request to the gate and waits for its reply. It returns false if
 // the caller has gone.
 func (s *Server) ask(ctx context.Context, event func(gate.RequestID) machine.Event) (gate.Reply, bool) {
-	reply := make(chan gate.Reply, 1)
-	s.mu.Lock()
-	s.last++
-	id := s.last
-	s.waiting[id] = reply
-	s.mu.Unlock()
-	if !s.post(ctx, event(id)) {
-		s.forget(id)
-		return gate.Reply{}, false
-	}
-	select {
-	case answer := <-reply:
-		return answer, true
-	case <-ctx.Done():
-		s.forget(id)
-		s.post(context.WithoutCancel(ctx), gate.Abandon{Request: id})
-		return gate.Reply{}, false
-	}
-}
-
-func (s *Server) forget(id gate.RequestID) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.waiting, id)
+	return s.exchange.Ask(ctx, event, func(id gate.RequestID) machine.Event { return gate.Abandon{Request: id} })
 }
 
 // respond writes the whole answer of a job that is done, the refusal of one that
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -41,6 +41,7 @@
 			newPlatform(),
 			newDev(),
 			newJob(),
+			newStatus(),
 			newCheck(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -31,6 +31,7 @@
 		Usage: "submit jobs and fetch their answers",
 		Commands: []*cli.Command{
 			newSubmit(),
+			newExplain(),
 			jobCommand("get", "print the state of a job", http.MethodGet, "", ""),
 			jobCommand("wait", "wait for a job and print its whole answer", http.MethodGet, "/answer", "wait=600"),
 			jobCommand("cancel", "cancel a job", http.MethodDelete, "", ""),
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -114,6 +114,7 @@
 		elector   *lease.Elector
 		front     *front
 		directory *directory
+		inspector *inspector
 		leader    *leader
 		effects   []machine.Effect
 	}
@@ -148,6 +149,7 @@
 	g := &Gate{config: config, node: node, store: machine.NewStore()}
 	g.front = newFront(g)
 	g.directory = newDirectory(g)
+	g.inspector = newInspector(g)
 	changed := lease.WithChanged(func(current lease.Lease, held bool) {
 		g.emit(LeadershipChanged{Leader: current.Holder, Epoch: current.Epoch, Held: held})
 	})
@@ -165,6 +167,8 @@
 		g.store.Resolve(e)
 	case machine.Message:
 		g.receive(now, e)
+	case Inspect:
+		g.inspector.request(now, e)
 	default:
 		g.front.request(now, event)
 	}
@@ -195,6 +199,7 @@
 	g.elector.Tick(now)
 	g.directory.tick(now)
 	g.front.tick(now)
+	g.inspector.tick(now)
 	if g.leader != nil {
 		g.leader.tick(now)
 	}
@@ -217,6 +222,8 @@
 	switch m := message.Body.(type) {
 	case wire.Status:
 		g.front.status(now, m)
+	case wire.Inspected:
+		g.inspector.answer(m)
 	case wire.Announce:
 		g.announced(now, message.From, m)
 	case wire.Submit:
--- /dev/null
+++ b/internal/gate/inspect.go
@@ -0,0 +1,95 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/job"
+	"github.com/lovageroad/lovageroad/internal/scheduler"
+	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/lease"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+type (
+	// Inspect is an event: an operator asks for the state of the region, or why a
+	// job waits if Job is set.
+	Inspect struct {
+		Request RequestID
+		Job     job.ID
+	}
+
+	// Inspected is an effect: the answer to an Inspect.
+	Inspected struct {
+		Request     RequestID
+		Leader      lease.Lease
+		Overview    scheduler.Overview
+		Explanation scheduler.Explanation
+		Err         error
+	}
+
+	// inspection is a question that waits for the leader.
+	inspection struct {
+		job      job.ID
+		deadline time.Time
+		resend   time.Time
+	}
+
+	// inspector asks the leader on behalf of operators.
+	inspector struct {
+		gate *Gate
+		open map[RequestID]*inspection
+	}
+)
+
+func newInspector(g *Gate) *inspector {
+	return &inspector{gate: g, open: make(map[RequestID]*inspection)}
+}
+
+func (i *inspector) request(now time.Time, e Inspect) {
+	i.open[e.Request] = &inspection{job: e.Job, deadline: now.Add(i.gate.config.AcceptTimeout)}
+	i.tick(now)
+}
+
+// tick asks the leader again, and gives up at the deadline.
+func (i *inspector) tick(now time.Time) {
+	leader, _ := i.gate.elector.Lease()
+	for id, open := range i.open {
+		switch {
+		case !now.Before(open.deadline):
+			delete(i.open, id)
+			i.gate.emit(Inspected{Request: id, Leader: leader, Err: &UnavailableError{Reason: "no leader answers", Ran: job.MayHaveRun}})
+		case !now.Before(open.resend):
+			open.resend = now.Add(i.gate.config.Resend)
+			i.gate.send(leader.Holder, wire.Inspect{Request: uint64(id), Job: open.job})
+		}
+	}
+}
+
+func (i *inspector) answer(m wire.Inspected) {
+	id := RequestID(m.Request)
+	open, ok := i.open[id]
+	if !ok {
+		return
+	}
+	delete(i.open, id)
+	leader, _ := i.gate.elector.Lease()
+	reply := Inspected{Request: id, Leader: leader, Overview: m.Overview, Explanation: m.Explanation}
+	if !m.Known {
+		reply.Err = &UnknownJobError{ID: open.job}
+	}
+	i.gate.emit(reply)
+}
+
+// inspect answers a gate from the policy.
+func (l *leader) inspect(now time.Time, from machine.Node, m wire.Inspect) {
+	if !l.ready {
+		return
+	}
+	reply := wire.Inspected{Request: m.Request, Known: true}
+	if m.Job == "" {
+		reply.Overview = l.policy.Overview(now)
+	} else {
+		reply.Explanation, reply.Known = l.policy.Explain(now, m.Job)
+	}
+	l.gate.send(from, reply)
+}
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -153,6 +153,8 @@
 	switch m := message.Body.(type) {
 	case wire.Watch:
 		l.watched(message.From, m)
+	case wire.Inspect:
+		l.inspect(now, message.From, m)
 	case wire.Cancel:
 		l.cancel(now, message.From, m)
 	case wire.Holding:
