Secure the processes by mutual TLS and callers by TLS

Keys are required on every address but loopback; their files are read again when they change. A message must come from the address and the role that its connection's certificate carries: orders come from gates only. dev makes its keys in memory.

Found by the test: a server's certificate was not checked against the IP number dialled, since an IP number is sent as no server name; the dialler sets it.

--- a/agent.go
+++ b/agent.go
@@ -22,11 +22,12 @@
 // agentRole runs an agent.
 type agentRole struct {
 	settings AgentSettings
+	config   config
 }
 
 // NewAgent returns the role of the process beside an upstream.
-func NewAgent(settings AgentSettings) Role {
-	return &agentRole{settings: settings}
+func NewAgent(settings AgentSettings, options ...Option) Role {
+	return &agentRole{settings: settings, config: newConfig(options)}
 }
 
 // Run announces the upstream and runs tasks on it.
@@ -34,11 +35,16 @@
 	self := machine.Node(a.settings.Peer)
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	store := platform.NewClient(string(a.settings.Platform), newClient())
-	sender := peer.NewSender(inner, self, "http", newClient(), func(string) {})
+	keys, err := a.config.load(a.settings.Keys())
+	if err != nil {
+		return err
+	}
+	store := platform.NewClient(string(a.settings.Platform), newPlatformClient())
+	client, scheme := newClient(keys)
+	sender := peer.NewSender(inner, self, scheme, client, func(string) {})
 	var run *loop.Loop
 	post := func(ctx context.Context, event machine.Event) bool { return run.Post(ctx, event) }
-	driver := upstream.NewDriver(inner, upstream.NewClient(string(a.settings.Upstream), newClient()), store, post)
+	driver := upstream.NewDriver(inner, upstream.NewClient(string(a.settings.Upstream), newPlatformClient()), store, post)
 	left := make(chan struct{})
 	var once sync.Once
 	handle := func(effect machine.Effect) {
@@ -53,7 +59,7 @@
 	run = loop.New(self, core, loop.WithStore(store, store), loop.WithSend(sender.Send), loop.WithHandle(handle))
 	own := http.NewServeMux()
 	own.Handle(peer.NewHandler(deliver(inner, post)))
-	private, err := serve(a.settings.Peer, own)
+	private, err := serve(a.settings.Peer, own, serverConfig(keys))
 	if err != nil {
 		return err
 	}
--- a/gate.go
+++ b/gate.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
+	"time"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
 	"github.com/lovageroad/lovageroad/internal/caller"
 	"github.com/lovageroad/lovageroad/internal/console"
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/loop"
+	"github.com/lovageroad/lovageroad/internal/mtls"
 	"github.com/lovageroad/lovageroad/internal/peer"
 	"github.com/lovageroad/lovageroad/internal/platform"
 	"github.com/lovageroad/lovageroad/internal/prom"
@@ -20,11 +24,12 @@
 // gateRole runs a gate.
 type gateRole struct {
 	settings GateSettings
+	config   config
 }
 
 // NewGate returns the role of an entry VM.
-func NewGate(settings GateSettings) Role {
-	return &gateRole{settings: settings}
+func NewGate(settings GateSettings, options ...Option) Role {
+	return &gateRole{settings: settings, config: newConfig(options)}
 }
 
 // Run serves callers, operators and the system's own processes.
@@ -32,9 +37,18 @@
 	self := machine.Node(g.settings.Peer)
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	store := platform.NewClient(string(g.settings.Platform), newClient())
+	keys, err := g.config.load(g.settings.Keys())
+	if err != nil {
+		return err
+	}
+	secure, err := g.publicConfig()
+	if err != nil {
+		return err
+	}
+	store := platform.NewClient(string(g.settings.Platform), newPlatformClient())
 	metrics := prom.NewGate()
-	sender := peer.NewSender(inner, self, "http", newClient(), metrics.Dropped)
+	client, scheme := newClient(keys)
+	sender := peer.NewSender(inner, self, scheme, client, metrics.Dropped)
 	var run *loop.Loop
 	post := func(ctx context.Context, event machine.Event) bool { return run.Post(ctx, event) }
 	callers := caller.New(post, store)
@@ -55,14 +69,14 @@
 	operators.Routes(router)
 	router.Handle("/metrics", metrics.Handler())
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	public, err := serve(g.settings.Listen, router)
+	public, err := serve(g.settings.Listen, router, secure)
 	if err != nil {
 		return err
 	}
 	defer public.Close()
 	own := http.NewServeMux()
 	own.Handle(peer.NewHandler(deliver(inner, run.Post)))
-	private, err := serve(g.settings.Peer, own)
+	private, err := serve(g.settings.Peer, own, serverConfig(keys))
 	if err != nil {
 		return err
 	}
@@ -78,3 +92,17 @@
 	}
 	return nil
 }
+
+// publicConfig returns the TLS configuration for callers and operators, or nil
+// on loopback without keys.
+func (g *gateRole) publicConfig() (*tls.Config, error) {
+	files, ok := g.settings.PublicKeys()
+	if !ok {
+		return nil, nil
+	}
+	keys, err := mtls.NewKeys(files, time.Now)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return keys.Public(), nil
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -69,7 +69,7 @@
 
 // roleCommand returns the command that runs a role with the settings in the
 // section of its name.
-func roleCommand[T any](name, usage string, role func(T) lovageroad.Role) *cli.Command {
+func roleCommand[T any](name, usage string, role func(T, ...lovageroad.Option) lovageroad.Role) *cli.Command {
 	return &cli.Command{
 		Name:      name,
 		Usage:     usage,
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -15,6 +15,7 @@
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/internal/mtls"
 	"github.com/lovageroad/lovageroad/internal/platform"
 	"github.com/lovageroad/lovageroad/internal/settings"
 	"github.com/lovageroad/lovageroad/internal/upstream"
@@ -62,12 +63,16 @@
 	if err := seed(ctx, platformURL); err != nil {
 		return err
 	}
+	gateKeys, agentKeys, err := devKeys()
+	if err != nil {
+		return err
+	}
 	for i := range devGates {
 		values := lovageroad.GateSettings{
 			Listen: public[i], Peer: peers[i], Region: devRegion, Platform: platformURL,
 			Gates: peers, Drain: devDrain, Place: "dc-1",
 		}
-		group.Go(func() error { return lovageroad.NewGate(values).Run(ctx) })
+		group.Go(func() error { return lovageroad.NewGate(values, gateKeys).Run(ctx) })
 	}
 	for i := range devAgents {
 		runner, own := next(), next()
@@ -79,7 +84,7 @@
 			Gates: peers, Upstream: settings.URL("http://" + string(runner)), Platform: platformURL, Drain: devDrain,
 		}
 		group.Go(func() error { return serveFake(ctx, runner) })
-		group.Go(func() error { return lovageroad.NewAgent(values).Run(ctx) })
+		group.Go(func() error { return lovageroad.NewAgent(values, agentKeys).Run(ctx) })
 	}
 	out := c.Root().Writer
 	fmt.Fprintf(out, "gates      http://%s http://%s\n", public[0], public[1])
@@ -134,3 +139,22 @@
 	}
 	return nil
 }
+
+// devKeys returns keys in memory for gates and agents on loopback.
+func devKeys() (gates, agents lovageroad.Option, err error) {
+	now := time.Now()
+	authority, err := mtls.NewAuthority(now)
+	if err != nil {
+		return nil, nil, err
+	}
+	loopback := net.IPv4(127, 0, 0, 1)
+	gateKeys, err := authority.Issue(now, mtls.RoleGate, loopback)
+	if err != nil {
+		return nil, nil, err
+	}
+	agentKeys, err := authority.Issue(now, mtls.RoleAgent, loopback)
+	if err != nil {
+		return nil, nil, err
+	}
+	return lovageroad.WithKeys(mtls.Fixed{Material: gateKeys}), lovageroad.WithKeys(mtls.Fixed{Material: agentKeys}), nil
+}
--- a/internal/command/script_test.go
+++ b/internal/command/script_test.go
@@ -36,10 +36,10 @@
 	})
 }
 
-// ready waits until a job of the script's account has run.
+// ready waits until a job has run on all four workers of the region.
 func ready(ts *testscript.TestScript, _ bool, _ []string) {
 	for range 600 {
-		err := ts.Exec("lovageroad", "job", "submit", "--accelerators", "0", "--idempotent", "--input", "warm", "--wait", "10")
+		err := ts.Exec("lovageroad", "job", "submit", "--workers", "4", "--accelerators", "0", "--idempotent", "--input", "warm", "--wait", "10")
 		if err == nil {
 			return
 		}
--- /dev/null
+++ b/internal/mtls/mtls_test.go
@@ -0,0 +1,157 @@
+package mtls_test
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/mtls"
+)
+
+var (
+	loopback  = net.IPv4(127, 0, 0, 1)
+	elsewhere = net.IPv4(10, 0, 0, 7)
+)
+
+func material(t *testing.T, a *mtls.Authority, role mtls.Role, ip net.IP) mtls.Material {
+	t.Helper()
+	m, err := a.Issue(time.Now(), role, ip)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func authority(t *testing.T) *mtls.Authority {
+	t.Helper()
+	a, err := mtls.NewAuthority(time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func keys(t *testing.T, source mtls.Source, now func() time.Time) *mtls.Keys {
+	t.Helper()
+	k, err := mtls.NewKeys(source, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// TestMutual connects processes with good and wrong certificates.
+func TestMutual(t *testing.T) {
+	own, other := authority(t), authority(t)
+	tests := []struct {
+		name   string
+		server mtls.Material
+		client mtls.Material
+		works  bool
+	}{
+		{"same authority", material(t, own, mtls.RoleGate, loopback), material(t, own, mtls.RoleAgent, loopback), true},
+		{"client of another authority", material(t, own, mtls.RoleGate, loopback), material(t, other, mtls.RoleAgent, loopback), false},
+		{"server of another authority", material(t, other, mtls.RoleGate, loopback), material(t, own, mtls.RoleAgent, loopback), false},
+		{"server of another address", material(t, own, mtls.RoleGate, elsewhere), material(t, own, mtls.RoleAgent, loopback), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewUnstartedServer(http.NotFoundHandler())
+			server.Config.ErrorLog = log.New(io.Discard, "", 0)
+			server.TLS = keys(t, mtls.Fixed{Material: test.server}, time.Now).Server()
+			server.StartTLS()
+			defer server.Close()
+			client := &http.Client{Transport: &http.Transport{
+				DialTLSContext: keys(t, mtls.Fixed{Material: test.client}, time.Now).Dial(&net.Dialer{}),
+			}}
+			response, err := client.Get(server.URL)
+			if err == nil {
+				response.Body.Close()
+			}
+			if (err == nil) != test.works {
+				t.Errorf("works: %v, want %v (%v)", err == nil, test.works, err)
+			}
+		})
+	}
+}
+
+// TestIdentity checks senders and roles against a connection's certificate.
+func TestIdentity(t *testing.T) {
+	a := authority(t)
+	m := material(t, a, mtls.RoleAgent, loopback)
+	pair, err := tls.X509KeyPair(m.Certificate, m.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(pair.Certificate[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := &tls.ConnectionState{PeerCertificates: []*x509.Certificate{leaf}}
+	var identity *mtls.IdentityError
+	if err := mtls.CheckNode(state, "127.0.0.1:7200"); err != nil {
+		t.Error(err)
+	}
+	if err := mtls.CheckNode(state, "10.0.0.7:7200"); !errors.As(err, &identity) {
+		t.Errorf("another address: %v", err)
+	}
+	if err := mtls.CheckRole(state, mtls.RoleAgent); err != nil {
+		t.Error(err)
+	}
+	if err := mtls.CheckRole(state, mtls.RoleGate); !errors.As(err, &identity) {
+		t.Errorf("another role: %v", err)
+	}
+}
+
+// TestReload replaces the files of a running process, by good ones and bad.
+func TestReload(t *testing.T) {
+	dir := t.TempDir()
+	files := mtls.Files{
+		Certificate: filepath.Join(dir, "certificate.pem"),
+		Key:         filepath.Join(dir, "key.pem"),
+		Authority:   filepath.Join(dir, "authority.pem"),
+	}
+	a := authority(t)
+	write(t, files, material(t, a, mtls.RoleGate, loopback))
+	now := time.Now()
+	k := keys(t, files, func() time.Time { return now })
+	first := served(t, k)
+	write(t, files, material(t, a, mtls.RoleGate, loopback))
+	now = now.Add(mtls.DefaultInterval)
+	second := served(t, k)
+	if first == second {
+		t.Error("the new certificate is not served")
+	}
+	write(t, files, mtls.Material{Certificate: []byte("broken")})
+	now = now.Add(mtls.DefaultInterval)
+	if served(t, k) != second {
+		t.Error("a broken file replaced the certificate")
+	}
+}
+
+func write(t *testing.T, files mtls.Files, m mtls.Material) {
+	t.Helper()
+	for path, data := range map[string][]byte{files.Certificate: m.Certificate, files.Key: m.Key, files.Authority: m.Authority} {
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func served(t *testing.T, k *mtls.Keys) string {
+	t.Helper()
+	certificate, err := k.Public().GetCertificate(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(certificate.Certificate[0])
+}
--- /dev/null
+++ b/internal/peer/identity.go
@@ -0,0 +1,38 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+
+	"github.com/lovageroad/lovageroad/internal/mtls"
+	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+// connectionKey is the context key of the connection's TLS state.
+type connectionKey struct{}
+
+// withConnection passes the connection's TLS state on in the context.
+func withConnection(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), connectionKey{}, r.TLS)))
+	})
+}
+
+// checkSender returns an IdentityError unless the connection's certificate
+// carries the sender's address and the role that may send the message. Without
+// TLS, as on loopback, nothing is checked.
+func checkSender(ctx context.Context, message machine.Message) error {
+	state, ok := ctx.Value(connectionKey{}).(*tls.ConnectionState)
+	if !ok || state == nil {
+		return nil
+	}
+	if err := mtls.CheckNode(state, message.From); err != nil {
+		return err
+	}
+	if wire.FromAgent(message.Body) {
+		return nil
+	}
+	return mtls.CheckRole(state, mtls.RoleGate)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -76,17 +76,20 @@
 // NewHandler returns the path and the handler that hand each message received
 // to deliver.
 func NewHandler(deliver func(machine.Message)) (string, http.Handler) {
-	receive := func(_ context.Context, request *connect.Request[Packet]) (*connect.Response[Packet], error) {
+	receive := func(ctx context.Context, request *connect.Request[Packet]) (*connect.Response[Packet], error) {
 		message, err := wire.Decode(request.Msg.Data)
 		if err != nil {
 			return nil, connect.NewError(connect.CodeInvalidArgument, err)
 		}
+		if err := checkSender(ctx, message); err != nil {
+			return nil, connect.NewError(connect.CodePermissionDenied, err)
+		}
 		deliver(message)
 		return connect.NewResponse(&Packet{}), nil
 	}
 	handler := connect.NewUnaryHandler(Procedure, receive,
 		connect.WithCodec(packetCodec{}), connect.WithReadMaxBytes(MaxMessage))
-	return Procedure, handler
+	return Procedure, withConnection(handler)
 }
 
 // NewSender returns a sender for the process self. It ends with the context.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,18 +20,26 @@
 	// Address is an IP number and a port.
 	Address string
 
+	// File is the path of a file.
+	File string
+
 	// URL is the base of an HTTP interface.
 	URL string
 
 	// Gate holds the settings of an entry VM.
 	Gate struct {
-		Listen   Address            `ini:"listen" help:"address for callers and operators"`
-		Peer     Address            `ini:"peer" help:"address for the system's own processes"`
-		Region   floor.RegionID     `ini:"region" help:"region that this gate serves"`
-		Platform URL                `ini:"platform" help:"base URL of the table service and object store"`
-		Gates    []Address          `ini:"gates" help:"peer addresses of all gates of the region"`
-		Drain    time.Duration      `ini:"drain" default:"30s" help:"longest time of a graceful shutdown"`
-		Place    floor.DataCentreID `ini:"datacentre" help:"data centre of this VM"`
+		Listen            Address            `ini:"listen" help:"address for callers and operators"`
+		Peer              Address            `ini:"peer" help:"address for the system's own processes"`
+		Region            floor.RegionID     `ini:"region" help:"region that this gate serves"`
+		Platform          URL                `ini:"platform" help:"base URL of the table service and object store"`
+		Gates             []Address          `ini:"gates" help:"peer addresses of all gates of the region"`
+		Drain             time.Duration      `ini:"drain" default:"30s" help:"longest time of a graceful shutdown"`
+		Place             floor.DataCentreID `ini:"datacentre" help:"data centre of this VM"`
+		Certificate       File               `ini:"certificate" optional:"yes" help:"PEM file of this process's certificate"`
+		Key               File               `ini:"key" optional:"yes" help:"PEM file of the certificate's key"`
+		Authority         File               `ini:"authority" optional:"yes" help:"PEM file of the authorities that sign the processes' certificates"`
+		PublicCertificate File               `ini:"public-certificate" optional:"yes" help:"PEM file of the certificate for callers and operators"`
+		PublicKey         File               `ini:"public-key" optional:"yes" help:"PEM file of that certificate's key"`
 	}
 
 	// Agent holds the settings of the process beside an upstream.
@@ -50,6 +58,9 @@
 		Upstream     URL                `ini:"upstream" help:"base URL of the runner"`
 		Platform     URL                `ini:"platform" help:"base URL of the table service and object store"`
 		Drain        time.Duration      `ini:"drain" default:"5m" help:"longest time of a graceful shutdown"`
+		Certificate  File               `ini:"certificate" optional:"yes" help:"PEM file of this process's certificate"`
+		Key          File               `ini:"key" optional:"yes" help:"PEM file of the certificate's key"`
+		Authority    File               `ini:"authority" optional:"yes" help:"PEM file of the authorities that sign the processes' certificates"`
 	}
 
 	// Platform holds the settings of the stand-in for the platform.
@@ -57,6 +68,11 @@
 		Listen Address `ini:"listen" help:"address of the stand-in"`
 	}
 
+	// checker checks settings against each other.
+	checker interface {
+		check() *KeyError
+	}
+
 	// KeyError says which key of which section of a file is wrong.
 	KeyError struct {
 		File    string
@@ -116,6 +132,9 @@
 		if text == "" {
 			text = field.Tag.Get("default")
 		}
+		if text == "" && field.Tag.Get("optional") != "" {
+			continue
+		}
 		if text == "" {
 			return settings, &KeyError{File: path, Section: section, Key: key, Reason: "is missing: " + field.Tag.Get("help")}
 		}
@@ -128,6 +147,12 @@
 			return settings, &KeyError{File: path, Section: section, Key: key, Reason: "is not known"}
 		}
 	}
+	if checked, ok := any(&settings).(checker); ok {
+		if err := checked.check(); err != nil {
+			err.File, err.Section = path, section
+			return settings, err
+		}
+	}
 	return settings, nil
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,13 @@
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
+const (
+	// firstAgentKind and lastAgentKind bound the kinds that agents send to each
+	// other.
+	firstAgentKind Kind = 40
+	lastAgentKind  Kind = 59
+)
+
 type (
 	// Kind tells the type of a message's body. A kind is never reused.
 	Kind uint8
@@ -58,6 +65,18 @@
 	byType[reflect.TypeFor[T]()] = e
 }
 
+// FromAgent reports whether an agent may send the message. All others come from
+// gates only.
+func FromAgent(body any) bool {
+	switch body.(type) {
+	case Announce, Holding, Reserved, Running, Stopped, Ended:
+		return true
+	default:
+		kind := byType[reflect.TypeOf(body)].kind
+		return kind >= firstAgentKind && kind <= lastAgentKind
+	}
+}
+
 // Encode returns the bytes of a message.
 func Encode(from machine.Node, body any) ([]byte, error) {
 	e, ok := byType[reflect.TypeOf(body)]
