Add a lab that runs gates and agents in virtual time

Tests of the coordination promises need the real state machines under loss, delay, reordering, duplicates, one-way cuts, pauses, crashes and a store whose answers are lost or late.

--- /dev/null
+++ b/internal/lab/caller.go
@@ -0,0 +1,113 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/account"
+	"github.com/lovageroad/lovageroad/internal/floor"
+	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/internal/job"
+)
+
+type (
+	// Callers submit jobs and keep what they were told.
+	Callers struct {
+		region *Region
+		last   gate.RequestID
+		Calls  []*Call
+		byID   map[gate.RequestID]*Call
+	}
+
+	// Call is one request of a caller.
+	Call struct {
+		Request gate.RequestID
+		Gate    *Process
+		Life    uint64
+		Job     job.ID
+		Spec    job.Spec
+		Body    job.Digest
+		Cancel  bool
+		Asked   time.Duration
+		Told    time.Duration
+		Reply   *gate.Reply
+	}
+)
+
+func newCallers(r *Region) *Callers {
+	return &Callers{region: r, byID: make(map[gate.RequestID]*Call)}
+}
+
+// SpecOf returns the description of a job that runs for the given time on one
+// accelerator of each of the given number of workers.
+func SpecOf(workers int, idempotent bool, duration time.Duration) job.Spec {
+	return job.Spec{
+		Account:    Tenant,
+		Class:      account.Class(duration.String()),
+		Shape:      floor.Shape{Workers: workers, Accelerators: 1}.Normal(),
+		Idempotent: idempotent,
+		Expected:   duration,
+	}
+}
+
+// Submit submits a job under a key at a gate. A wait of zero asks for the
+// acceptance only.
+func (c *Callers) Submit(g *Process, key string, spec job.Spec, wait time.Duration) *Call {
+	call := c.call(g, key)
+	call.Spec = spec
+	call.Body = job.DigestOf(fmt.Appendf(nil, "%v", spec))
+	event := gate.Submit{
+		Request: call.Request,
+		ID:      call.Job,
+		Spec:    spec,
+		Body:    call.Body,
+		Token:   account.HashToken(Secret),
+	}
+	if wait > 0 {
+		event.Wait = g.Now().Add(wait)
+	}
+	g.Post(event)
+	return call
+}
+
+// Lookup asks for a job at a gate.
+func (c *Callers) Lookup(g *Process, key string, wait time.Duration) *Call {
+	call := c.call(g, key)
+	event := gate.Lookup{Request: call.Request, Account: Tenant, Token: account.HashToken(Secret), ID: call.Job}
+	if wait > 0 {
+		event.Wait = g.Now().Add(wait)
+	}
+	g.Post(event)
+	return call
+}
+
+// Cancel cancels a job at a gate.
+func (c *Callers) Cancel(g *Process, key string) *Call {
+	call := c.call(g, key)
+	call.Cancel = true
+	g.Post(gate.Cancel{Request: call.Request, Account: Tenant, Token: account.HashToken(Secret), ID: call.Job})
+	return call
+}
+
+func (c *Callers) call(g *Process, key string) *Call {
+	c.last++
+	call := &Call{
+		Request: c.last,
+		Gate:    g,
+		Life:    g.Life(),
+		Job:     job.NewID(Tenant, key),
+		Asked:   c.region.Elapsed(),
+	}
+	c.Calls = append(c.Calls, call)
+	c.byID[call.Request] = call
+	return call
+}
+
+func (c *Callers) reply(_ *Process, reply gate.Reply) {
+	call, ok := c.byID[reply.Request]
+	if !ok || call.Reply != nil {
+		return
+	}
+	call.Reply = &reply
+	call.Told = c.region.Elapsed()
+}
--- /dev/null
+++ b/internal/lab/region.go
@@ -0,0 +1,103 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/lovageroad/lovageroad/internal/account"
+	"github.com/lovageroad/lovageroad/internal/floor"
+	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+const (
+	// RegionID is the region of a Region.
+	RegionID floor.RegionID = "region"
+
+	// Tenant is the account of a Region.
+	Tenant account.Name = "tenant"
+
+	// Secret is the token of the account.
+	Secret = "secret"
+)
+
+// Region is a world with gates, agents and callers.
+type Region struct {
+	*World
+	Gates   []*Process
+	Runners []*Runner
+	Callers *Callers
+}
+
+// NewRegion returns a region with the given numbers of gates and of agents,
+// three agents to a rack.
+func NewRegion(seed uint64, gates, agents int, options ...gate.Option) *Region {
+	r := &Region{World: New(seed)}
+	r.Callers = newCallers(r)
+	r.seedAccount()
+	var nodes []machine.Node
+	for i := range gates {
+		nodes = append(nodes, machine.Node(fmt.Sprintf("gate-%d", i+1)))
+	}
+	for _, node := range nodes {
+		r.Gates = append(r.Gates, r.World.Add(node, func(p *Process) machine.Machine {
+			return gate.New(p.Node(), RegionID, options...)
+		}, r.handle, gate.Start{}))
+	}
+	for i := range agents {
+		worker := floor.Worker{
+			ID:           floor.WorkerID(fmt.Sprintf("worker-%02d", i+1)),
+			Rack:         floor.RackID(fmt.Sprintf("rack-%d", i/3+1)),
+			DataCentre:   floor.DataCentreID(fmt.Sprintf("dc-%d", i/12+1)),
+			Region:       RegionID,
+			Accelerators: 8,
+			Cores:        32,
+			Memory:       64 << 10,
+			Slots:        8,
+		}
+		node := machine.Node(fmt.Sprintf("agent-%02d", i+1))
+		r.Runners = append(r.Runners, r.AddAgent(node, worker, nodes))
+	}
+	return r
+}
+
+// Leader returns the gate that holds the highest epoch as far as the gates know,
+// or nil.
+func (r *Region) Leader() *Process {
+	var leader *Process
+	highest := uint64(0)
+	for _, p := range r.Gates {
+		if !p.Up() {
+			continue
+		}
+		current, held := p.Machine().(*gate.Gate).Leader()
+		if held && uint64(current.Epoch) > highest {
+			leader, highest = p, uint64(current.Epoch)
+		}
+	}
+	return leader
+}
+
+func (r *Region) seedAccount() {
+	value, err := json.Marshal(account.Account{
+		Name:       Tenant,
+		Region:     RegionID,
+		Parameters: account.DefaultParameters(),
+		Tokens:     []account.TokenHash{account.HashToken(Secret)},
+	})
+	if err != nil {
+		panic(err)
+	}
+	txn := table.Txn{Writes: []table.Write{{Key: gate.AccountKey(RegionID, Tenant), Value: value}}}
+	if _, err := r.Store.Memory.Commit(context.Background(), txn); err != nil {
+		panic(err)
+	}
+}
+
+func (r *Region) handle(p *Process, effect machine.Effect) {
+	if reply, ok := effect.(gate.Reply); ok {
+		r.Callers.reply(p, reply)
+	}
+}
