--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -49,6 +49,7 @@
 			cmp.Compare(x.id.Job, y.id.Job),
 			cmp.Compare(x.id.Attempt, y.id.Attempt),
 			cmp.Compare(x.id.Rank, y.id.Rank),
+			cmp.Compare(x.id.Epoch, y.id.Epoch),
 		)
 	})
 	return list
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/lovageroad/lovageroad/internal/job"
 	"github.com/lovageroad/lovageroad/internal/scheduler"
 	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
@@ -30,6 +31,7 @@
 	// attempt is one start of a job: all of its members, or none.
 	attempt struct {
 		number   job.Attempt
+		epoch    lease.Epoch
 		step     step
 		members  []*member
 		deadline time.Time
@@ -51,8 +53,8 @@
 	}
 )
 
-func newAttempt(_ time.Time, number job.Attempt, placement floor.Placement, first step) *attempt {
-	a := &attempt{number: number, step: first}
+func newAttempt(number job.Attempt, epoch lease.Epoch, placement floor.Placement, first step) *attempt {
+	a := &attempt{number: number, epoch: epoch, step: first}
 	for _, share := range placement {
 		a.members = append(a.members, &member{share: share})
 	}
@@ -61,7 +63,7 @@
 
 // start asks every member to set its share aside.
 func (l *leader) start(now time.Time, e *entry, placement floor.Placement) {
-	a := newAttempt(now, e.record.Attempt+1, placement, stepReserving)
+	a := newAttempt(e.record.Attempt+1, l.epoch, placement, stepReserving)
 	a.deadline = now.Add(l.gate.config.ReserveTimeout)
 	e.attempt = a
 	l.sendReserves(now, e)
@@ -301,7 +303,7 @@
 // comes from the agent that holds it.
 func (l *leader) member(from machine.Node, id wire.TaskID) (*entry, *member) {
 	e, ok := l.jobs[id.Job]
-	if !ok || e.attempt == nil || e.attempt.number != id.Attempt {
+	if !ok || e.attempt == nil || e.attempt.number != id.Attempt || e.attempt.epoch != id.Epoch {
 		return nil, nil
 	}
 	if id.Rank < 0 || int(id.Rank) >= len(e.attempt.members) {
@@ -316,7 +318,7 @@
 }
 
 func (a *attempt) task(e *entry, rank int) wire.TaskID {
-	return wire.TaskID{Job: e.record.ID, Attempt: a.number, Rank: job.Rank(rank)}
+	return wire.TaskID{Job: e.record.ID, Attempt: a.number, Rank: job.Rank(rank), Epoch: a.epoch}
 }
 
 func (a *attempt) placement() floor.Placement {
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -103,7 +103,7 @@
 	l.jobs[record.ID] = e
 	l.policy.Restore(now, described(record), record.Placement)
 	if record.State == job.StateStarted {
-		e.attempt = newAttempt(now, record.Attempt, record.Placement, stepRunning)
+		e.attempt = newAttempt(record.Attempt, record.Epoch, record.Placement, stepRunning)
 	}
 }
 
--- a/internal/lab/runner.go
+++ b/internal/lab/runner.go
@@ -10,9 +10,14 @@
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
-// DefaultTaskLease is the time after which a runner stops a task whose agent has
-// gone.
-const DefaultTaskLease = 60 * time.Second
+const (
+	// DefaultTaskLease is the time after which a runner stops a task whose agent
+	// has gone.
+	DefaultTaskLease = 60 * time.Second
+
+	// failingInput is the input of a task that fails.
+	failingInput = "fail"
+)
 
 type (
 	// Runner is a fake runner beside an agent. It runs each task once, for a time
@@ -85,7 +90,7 @@
 		duration = time.Second
 	}
 	result := wire.Result{Answer: job.NewAnswer(Output(e.Task.Job, e.Task.Rank))}
-	if string(e.Spec.Input) == "fail" {
+	if string(e.Spec.Input) == failingInput {
 		result = wire.Result{Failed: true, Reason: "the task failed"}
 	}
 	r.world.After(duration, func() { r.end(p, e.Task, t, result) })
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -24,6 +24,7 @@
 	Delay  time.Duration
 	Spread time.Duration
 	Limit  time.Duration
+	fault  time.Time
 	world  *World
 	asked  int
 	byNode map[machine.Node]int
@@ -37,10 +38,23 @@
 
 // Heal ends all faults.
 func (s *Store) Heal() {
+	if s.faulty() {
+		s.fault = s.world.now
+	}
 	s.Down, s.Silent, s.Lost = false, false, 0
 	s.Delay, s.Spread = DefaultStoreDelay, DefaultStoreDelay
 }
 
+// FaultyWithin reports whether the store has a fault, or had one within the time
+// that is given.
+func (s *Store) FaultyWithin(past time.Duration) bool {
+	return s.faulty() || (!s.fault.IsZero() && s.world.now.Sub(s.fault) <= past)
+}
+
+func (s *Store) faulty() bool {
+	return s.Down || s.Silent || s.Lost > 0 || s.Delay > DefaultStoreDelay
+}
+
 // Asked returns the number of operations that were asked for.
 func (s *Store) Asked() int {
 	return s.asked
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -77,5 +77,5 @@
 
 // Name returns the id of a task in the runner's paths.
 func Name(id wire.TaskID) string {
-	return fmt.Sprintf("%s-%d-%d", id.Job, id.Attempt, id.Rank)
+	return fmt.Sprintf("%s-%d-%d-%d", id.Job, id.Epoch, id.Attempt, id.Rank)
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -34,11 +34,13 @@
 	// Phase is a step in the life of a task.
 	Phase string
 
-	// TaskID names one member of one attempt of a job.
+	// TaskID names one member of one attempt of a job. Attempts of two leaders
+	// differ in the epoch under which they were decided.
 	TaskID struct {
 		Job     job.ID      `cbor:"1,keyasint"`
 		Attempt job.Attempt `cbor:"2,keyasint"`
 		Rank    job.Rank    `cbor:"3,keyasint"`
+		Epoch   lease.Epoch `cbor:"4,keyasint"`
 	}
 
 	// Result is what a member's task ended with.
