--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -134,6 +134,7 @@
 		e.record.Never = refused.Never
 		e.record.Ended = now
 		e.ended = now
+		l.gate.observeEnd(e.record)
 	}
 	l.save(now, e)
 }
@@ -152,6 +153,8 @@
 	switch m := message.Body.(type) {
 	case wire.Watch:
 		l.watched(message.From, m)
+	case wire.Inspect:
+		l.inspect(now, message.From, m)
 	case wire.Cancel:
 		l.cancel(now, message.From, m)
 	case wire.Holding:
