Keep settings as revisions that never go back

A gate holds templates, accounts and cooling budgets as one directory at a revision (pkg/revision). One change is one transaction over the head, the subject's row and the change's row; a change whose answer was lost is settled by reading its own row back. Gates poll the head, fetch only what changed, and exchange changes with each other; fences, orders, submissions and redirects carry the revision, and the leader applies it to the policy.

A submission at a gate whose settings are not known to be fresh is refused under the job's identity; where that cannot be written, nobody can say that a copy did not run, and the answer says so.

--- a/gate.go
+++ b/gate.go
@@ -13,6 +13,7 @@
 	"github.com/lovageroad/lovageroad/internal/peer"
 	"github.com/lovageroad/lovageroad/internal/platform"
 	"github.com/lovageroad/lovageroad/internal/prom"
+	"github.com/lovageroad/lovageroad/internal/settings"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
@@ -38,7 +39,7 @@
 	callers := caller.New(func(ctx context.Context, event machine.Event) bool {
 		return run.Post(ctx, event)
 	}, store)
-	run = loop.New(self, gate.New(self, g.settings.Region),
+	run = loop.New(self, gate.New(self, g.settings.Region, gate.WithGates(settings.Nodes(g.settings.Gates)...)),
 		loop.WithStore(store, store),
 		loop.WithSend(sender.Send),
 		loop.WithObserve(metrics.Store),
--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -52,11 +52,13 @@
 		Parameters Parameters `json:"parameters"`
 	}
 
-	// Account is a client account in one region with its parameters resolved.
+	// Account is a client account in one region. Its parameters are those of its
+	// template, or the defaults, with its overrides put over them.
 	Account struct {
 		Name       Name           `json:"name"`
 		Region     floor.RegionID `json:"region"`
 		Template   string         `json:"template,omitempty"`
+		Overrides  Overrides      `json:"overrides,omitzero"`
 		Parameters Parameters     `json:"parameters"`
 		Tokens     []TokenHash    `json:"tokens,omitempty"`
 	}
--- /dev/null
+++ b/internal/account/overrides.go
@@ -0,0 +1,43 @@
+package account
+
+import "slices"
+
+// Overrides are the parameters that an account sets for itself. One that is nil
+// follows the template.
+type Overrides struct {
+	Guarantees *[]Guarantee `json:"guarantees,omitempty"`
+	QueueLimit *int         `json:"queue,omitempty"`
+	Order      *[]Class     `json:"order,omitempty"`
+	Urgent     *[]Class     `json:"urgent,omitempty"`
+	Weights    *Weights     `json:"weights,omitempty"`
+}
+
+// Over returns the base with the overrides put over it.
+func (o Overrides) Over(base Parameters) Parameters {
+	override(&base.Guarantees, o.Guarantees)
+	override(&base.QueueLimit, o.QueueLimit)
+	override(&base.Order, o.Order)
+	override(&base.Urgent, o.Urgent)
+	override(&base.Weights, o.Weights)
+	return base
+}
+
+// Empty reports whether nothing is overridden.
+func (o Overrides) Empty() bool {
+	return o == Overrides{}
+}
+
+// Same reports whether two sets of parameters are equal.
+func (p Parameters) Same(other Parameters) bool {
+	return slices.Equal(p.Guarantees, other.Guarantees) &&
+		p.QueueLimit == other.QueueLimit &&
+		slices.Equal(p.Order, other.Order) &&
+		slices.Equal(p.Urgent, other.Urgent) &&
+		p.Weights == other.Weights
+}
+
+func override[T any](target, value *T) {
+	if value != nil {
+		*target = *value
+	}
+}
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -35,6 +35,7 @@
 
 // redirect follows a gate to the leader, unless the gate knows of an older one.
 func (a *Agent) redirect(now time.Time, from machine.Node, m wire.Redirect) {
+	a.revision = max(a.revision, m.Revision)
 	if m.Epoch < a.epoch || m.Leader == "" {
 		return
 	}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -91,7 +91,7 @@
 	if !ok || !u.fenced {
 		return
 	}
-	l.gate.send(u.node, body(wire.Order{Epoch: l.epoch, Incarnation: u.incarnation}))
+	l.gate.send(u.node, body(wire.Order{Epoch: l.epoch, Revision: l.gate.directory.revision(), Incarnation: u.incarnation}))
 }
 
 func (l *leader) reserved(now time.Time, from machine.Node, m wire.Reserved) {
@@ -182,7 +182,7 @@
 		return
 	}
 	if u := l.at(from); u != nil {
-		l.gate.send(from, wire.Settled{Order: wire.Order{Epoch: l.epoch, Incarnation: u.incarnation}, Task: m.Task})
+		l.gate.send(from, wire.Settled{Order: wire.Order{Epoch: l.epoch, Revision: l.gate.directory.revision(), Incarnation: u.incarnation}, Task: m.Task})
 	}
 }
 
--- a/internal/gate/directory.go
+++ b/internal/gate/directory.go
@@ -4,83 +4,323 @@
 	"cmp"
 	"crypto/subtle"
 	"encoding/json"
-	"maps"
+	"errors"
 	"slices"
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
+	"github.com/lovageroad/lovageroad/internal/scheduler"
+	"github.com/lovageroad/lovageroad/internal/wire"
 	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/pkg/revision"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
 const (
-	directoryInterval = 2 * time.Second
+	// SettingsInterval is the time between two looks at the newest revision in
+	// the table.
+	SettingsInterval = time.Second
+
+	// SettingsBound is the time after which settings that are not known to be the
+	// newest are applied to no new work.
+	SettingsBound = 18 * time.Second
+
+	// MaxRecent is the number of changes that a gate keeps for other gates.
+	MaxRecent = 64
 )
 
-// directory holds the accounts of the region as the table has them.
+// directory holds the settings of the region at a revision that only moves
+// forward.
 type directory struct {
 	gate     *Gate
+	now      time.Time
+	register revision.Register[*account.Directory]
 	accounts map[account.Name]account.Account
-	known    bool
+	recent   []account.Change
+	head     head
 	reading  bool
+	failing  bool
 	next     time.Time
+	gates    *exchange
+	agents   map[floor.WorkerID]heldRevision
+	spread   time.Time
+	editor   *editor
+}
+
+// head is the version of the head row at a revision.
+type head struct {
+	known    bool
+	revision revision.Number
+	version  table.Version
 }
 
 func newDirectory(g *Gate) *directory {
-	return &directory{gate: g, accounts: make(map[account.Name]account.Account)}
+	d := &directory{gate: g, agents: make(map[floor.WorkerID]heldRevision)}
+	d.gates = newExchange(d)
+	d.editor = newEditor(d)
+	return d
 }
 
 func (d *directory) tick(now time.Time) {
-	if d.reading || now.Before(d.next) {
-		return
+	d.now = now
+	if !d.reading && !now.Before(d.next) {
+		d.poll(now)
 	}
-	d.next = now.Add(directoryInterval)
+	d.gates.tick(now)
+	d.editor.tick(now)
+	d.spreadRevision(now)
+}
+
+// poll reads the head, and what has changed if it has moved.
+func (d *directory) poll(now time.Time) {
 	d.reading = true
-	d.scan(now, "", make(map[account.Name]account.Account))
+	d.next = now.Add(SettingsInterval)
+	d.gate.store.Read([]table.Key{account.HeadKey(d.gate.config.Region)}, func(result machine.Stored) {
+		d.failing = result.Err != nil
+		if result.Err != nil {
+			d.reading = false
+			return
+		}
+		newest, err := d.readHead(result.Rows)
+		if err != nil {
+			d.reading = false
+			return
+		}
+		d.catchUp(now, newest)
+	})
 }
 
-func (d *directory) scan(now time.Time, after table.Key, found map[account.Name]account.Account) {
-	prefix := AccountKey(d.gate.config.Region, "")
+func (d *directory) readHead(rows []table.Row) (revision.Number, error) {
+	if len(rows) == 0 {
+		d.head.known = true
+		return 0, nil
+	}
+	var newest account.Head
+	if err := json.Unmarshal(rows[0].Value, &newest); err != nil {
+		return 0, err
+	}
+	if newest.Revision >= d.head.revision {
+		d.head = head{known: true, revision: newest.Revision, version: rows[0].Version}
+	}
+	return newest.Revision, nil
+}
+
+// catchUp fetches what is missing to a revision that was the newest at or after
+// the time asked.
+func (d *directory) catchUp(asked time.Time, newest revision.Number) {
+	d.register.Confirm(asked, newest)
+	switch {
+	case !d.register.Known():
+		d.load(asked, newest)
+	case newest > d.revision():
+		d.fetch(asked, newest)
+	default:
+		d.reading = false
+	}
+}
+
+// fetch reads the changes after the revision held.
+func (d *directory) fetch(asked time.Time, newest revision.Number) {
+	region := d.gate.config.Region
+	after := account.ChangeKey(region, d.revision())
+	d.gate.store.Scan(account.ChangePrefix(region), after, scanLimit, func(result machine.Stored) {
+		d.reading = false
+		if result.Err != nil {
+			return
+		}
+		d.advance(decodeRows(result.Rows))
+		d.register.Confirm(asked, newest)
+		if len(result.Rows) == scanLimit {
+			d.next = asked
+		}
+	})
+}
+
+// load reads the newest changes of all subjects, and then those that were made
+// meanwhile.
+func (d *directory) load(asked time.Time, newest revision.Number) {
+	kinds := []account.Kind{account.KindTemplate, account.KindAccount, account.KindFloor}
+	d.loadKinds(kinds, "", nil, func(changes []account.Change) {
+		d.loadRest(asked, newest, account.NewDirectory(changes...))
+	})
+}
+
+func (d *directory) loadKinds(kinds []account.Kind, after table.Key, found []account.Change, done func([]account.Change)) {
+	if len(kinds) == 0 {
+		done(found)
+		return
+	}
+	prefix := account.SubjectPrefix(d.gate.config.Region, kinds[0])
 	d.gate.store.Scan(prefix, after, scanLimit, func(result machine.Stored) {
 		if result.Err != nil {
 			d.reading = false
 			return
 		}
-		for _, row := range result.Rows {
-			var a account.Account
-			if json.Unmarshal(row.Value, &a) == nil {
-				found[a.Name] = a
-			}
-		}
+		found = append(found, decodeRows(result.Rows)...)
 		if len(result.Rows) == scanLimit {
-			d.scan(now, result.Rows[scanLimit-1].Key, found)
+			d.loadKinds(kinds, result.Rows[scanLimit-1].Key, found, done)
 			return
 		}
+		d.loadKinds(kinds[1:], "", found, done)
+	})
+}
+
+func (d *directory) loadRest(asked time.Time, newest revision.Number, loaded *account.Directory) {
+	region := d.gate.config.Region
+	d.gate.store.Scan(account.ChangePrefix(region), account.ChangeKey(region, newest), scanLimit, func(result machine.Stored) {
 		d.reading = false
-		d.replace(found)
+		if result.Err != nil {
+			return
+		}
+		changes := decodeRows(result.Rows)
+		number := newest + revision.Number(len(changes))
+		whole := loaded.With(changes...)
+		if whole.Newest() > number {
+			return
+		}
+		d.take(number, whole)
+		d.register.Confirm(asked, newest)
 	})
 }
 
-func (d *directory) replace(found map[account.Name]account.Account) {
-	d.accounts = found
-	d.known = true
+// advance applies the changes that follow the revision held.
+func (d *directory) advance(changes []account.Change) {
+	current, number, known := d.register.Get()
+	if !known {
+		return
+	}
+	var next []account.Change
+	for _, c := range changes {
+		if c.Revision == number+1 {
+			number++
+			next = append(next, c)
+		}
+	}
+	if len(next) == 0 {
+		return
+	}
+	d.recent = append(d.recent, next...)
+	d.recent = d.recent[max(0, len(d.recent)-MaxRecent):]
+	d.take(number, current.With(next...))
+}
+
+// take moves the directory forward and applies it where this gate leads.
+func (d *directory) take(number revision.Number, next *account.Directory) {
+	if !d.register.Advance(number, next) {
+		return
+	}
+	if len(d.recent) > 0 && d.recent[len(d.recent)-1].Revision != number {
+		d.recent = nil
+	}
+	d.accounts = make(map[account.Name]account.Account)
+	for _, a := range next.Accounts() {
+		d.accounts[a.Name] = a
+	}
 	if d.gate.leader != nil {
-		d.gate.leader.policy.SetAccounts(d.list())
+		d.apply(d.gate.leader.policy)
+	}
+	d.spread = time.Time{}
+}
+
+// apply sets the policy's accounts and budgets.
+func (d *directory) apply(policy scheduler.Policy) {
+	current, _, known := d.register.Get()
+	if !known {
+		return
+	}
+	policy.SetAccounts(current.Accounts())
+	policy.SetBudgets(budgets(current))
+}
+
+func budgets(d *account.Directory) []scheduler.Budget {
+	var list []scheduler.Budget
+	for _, b := range d.Budgets() {
+		list = append(list, scheduler.Budget(b))
 	}
+	return list
+}
+
+// revision returns the revision held.
+func (d *directory) revision() revision.Number {
+	return d.register.Number()
+}
+
+// observe takes note that another process has seen a revision, and looks for it
+// if it is not held.
+func (d *directory) observe(now time.Time, number revision.Number) {
+	if number <= d.revision() {
+		return
+	}
+	if d.register.Observe(number) {
+		d.next = now
+		d.gates.next = now
+	}
+}
+
+// fresh reports whether the settings may be applied to new work.
+func (d *directory) fresh(now time.Time) bool {
+	return d.register.Fresh(now, SettingsBound) || d.undisputed(now)
+}
+
+// undisputed reports whether no newer revision can have been accepted: the table
+// does not answer, and no gate that can be asked has more. A gate that can ask
+// none of the others cannot know that.
+func (d *directory) undisputed(now time.Time) bool {
+	return d.failing && d.register.Known() && !d.register.Behind() && d.gates.reachable(now)
+}
+
+// admits reports whether the leader may take new work from a gate that holds a
+// revision.
+func (d *directory) admits(now time.Time, number revision.Number) bool {
+	d.observe(now, number)
+	return number <= d.revision() && d.fresh(now)
 }
 
-func (d *directory) list() []account.Account {
-	return slices.SortedFunc(maps.Values(d.accounts), func(x, y account.Account) int {
-		return cmp.Compare(x.Name, y.Name)
+// refuses replies to a submission that comes while the settings are not known to
+// be fresh. The refusal is made durable, so that a copy of the request at another
+// gate cannot run.
+func (d *directory) refuses(now time.Time, event machine.Event) bool {
+	e, ok := event.(Submit)
+	if !ok || d.fresh(now) {
+		return false
+	}
+	r := &request{
+		id:       e.Request,
+		job:      e.ID,
+		account:  e.Spec.Account,
+		submit:   &wire.Submit{ID: e.ID, Spec: e.Spec, Body: e.Body},
+		settling: true,
+		deadline: now,
+		wait:     e.Wait,
+	}
+	front := d.gate.front
+	front.requests[r.id] = r
+	record := refusal(now, *r.submit, "the settings are not known to be the newest")
+	txn, err := createRefused(d.gate.config.Region, record)
+	if err != nil {
+		front.reply(r, job.Record{}, err)
+		return true
+	}
+	d.gate.store.Commit(txn, func(result machine.Stored) {
+		var conflict *table.ConflictError
+		switch {
+		case result.Err == nil:
+			front.reply(r, record, nil)
+		case errors.As(result.Err, &conflict):
+			front.lookup(now, r)
+		default:
+			front.reply(r, job.Record{}, &UnavailableError{Reason: "neither the settings nor the job can be read now", Ran: job.MayHaveRun})
+		}
 	})
+	return true
 }
 
 // check returns an error unless the token is one of the account's.
 func (d *directory) check(name account.Name, token account.TokenHash) error {
-	if !d.known {
-		return &UnavailableError{Reason: "the accounts are not known yet", Ran: job.NotRun}
+	if !d.register.Known() {
+		return &UnavailableError{Reason: "the accounts are not known yet", Ran: job.MayHaveRun}
 	}
 	a, ok := d.accounts[name]
 	if !ok {
@@ -96,5 +336,17 @@
 
 // AccountKey returns the row of an account in the table.
 func AccountKey(region floor.RegionID, name account.Name) table.Key {
-	return table.Key("account/" + string(region) + "/" + string(name))
+	return account.SubjectKey(region, account.Subject{Kind: account.KindAccount, Name: string(name)})
+}
+
+// decodeRows returns the changes that rows hold, by revision.
+func decodeRows(rows []table.Row) []account.Change {
+	changes := make([]account.Change, 0, len(rows))
+	for _, row := range rows {
+		if c, err := account.Decode(row.Value); err == nil {
+			changes = append(changes, c)
+		}
+	}
+	slices.SortStableFunc(changes, func(x, y account.Change) int { return cmp.Compare(x.Revision, y.Revision) })
+	return changes
 }
--- a/internal/gate/front.go
+++ b/internal/gate/front.go
@@ -42,7 +42,7 @@
 }
 
 func (f *front) request(now time.Time, event machine.Event) {
-	if err := f.denied(event); err != nil {
+	if err := f.denied(event); err != nil || f.gate.directory.refuses(now, event) {
 		return
 	}
 	switch e := event.(type) {
@@ -51,7 +51,7 @@
 			id:      e.Request,
 			job:     e.ID,
 			account: e.Spec.Account,
-			submit:  &wire.Submit{ID: e.ID, Spec: e.Spec, Body: e.Body},
+			submit:  &wire.Submit{ID: e.ID, Spec: e.Spec, Body: e.Body, Revision: f.gate.directory.revision()},
 			wait:    e.Wait,
 		})
 	case Lookup:
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -56,6 +56,7 @@
 		Remember       time.Duration
 		Lease          []lease.Option
 		Policy         func() scheduler.Policy
+		Gates          []machine.Node
 	}
 
 	// Option sets a field of a Config.
@@ -165,6 +166,8 @@
 		g.store.Resolve(e)
 	case machine.Message:
 		g.receive(now, e)
+	case Edit, View, Recall:
+		g.directory.operate(now, e)
 	default:
 		g.front.request(now, event)
 	}
@@ -217,6 +220,8 @@
 	switch m := message.Body.(type) {
 	case wire.Status:
 		g.front.status(now, m)
+	case wire.Revisions, wire.Changes, wire.Check, wire.Checked:
+		g.directory.receive(now, message)
 	case wire.Announce:
 		g.announced(now, message.From, m)
 	case wire.Submit:
@@ -235,6 +240,7 @@
 	if m.Worker.Region != g.config.Region {
 		return
 	}
+	g.directory.announced(now, m)
 	current, held := g.elector.Lease()
 	if m.Epoch > current.Epoch {
 		g.elector.Observe(now, lease.Lease{Epoch: m.Epoch})
@@ -244,7 +250,7 @@
 	if held && g.leader != nil {
 		g.leader.announced(now, from, m)
 	}
-	g.send(from, wire.Redirect{Leader: current.Holder, Epoch: current.Epoch})
+	g.send(from, wire.Redirect{Leader: current.Holder, Epoch: current.Epoch, Revision: g.directory.revision()})
 }
 
 func leaseKey(region floor.RegionID) table.Key {
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -69,7 +69,7 @@
 // recover reads all live jobs of the region.
 func (l *leader) recover(now time.Time) {
 	l.since = now
-	l.policy.SetAccounts(l.gate.directory.list())
+	l.gate.directory.apply(l.policy)
 	l.scan(now, "")
 }
 
@@ -117,6 +117,9 @@
 		l.report(e)
 		return
 	}
+	if !l.gate.directory.admits(now, m.Revision) {
+		return
+	}
 	e := &entry{record: job.Record{
 		ID:        m.ID,
 		Spec:      m.Spec,
--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -20,7 +20,7 @@
 	}
 	u.heard = now
 	if !u.fenced || m.Epoch < l.epoch {
-		l.gate.send(from, wire.Fence{Epoch: l.epoch})
+		l.gate.send(from, wire.Fence{Epoch: l.epoch, Revision: l.gate.directory.revision()})
 		return
 	}
 	if m.Leaving && !u.leaving {
@@ -77,7 +77,7 @@
 	case member == nil && t.Phase == wire.PhaseEnded:
 		l.settleStray(u.node, wire.Ended{Task: t.Task})
 	case member == nil:
-		order := wire.Order{Epoch: l.epoch, Incarnation: u.incarnation}
+		order := wire.Order{Epoch: l.epoch, Revision: l.gate.directory.revision(), Incarnation: u.incarnation}
 		l.gate.send(u.node, wire.Stop{Order: order, Task: t.Task})
 	case t.Phase == wire.PhaseEnded:
 		l.memberEnded(now, u.node, wire.Ended{Epoch: l.epoch, Task: t.Task, Result: *t.Result})
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -8,6 +8,7 @@
 	"github.com/lovageroad/lovageroad/internal/job"
 	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/pkg/revision"
 )
 
 const (
@@ -29,7 +30,7 @@
 	Incarnation uint64
 
 	// Revision counts the accepted changes of settings.
-	Revision uint64
+	Revision = revision.Number
 
 	// Phase is a step in the life of a task.
 	Phase string
@@ -66,10 +67,12 @@
 		Draw        floor.Watts  `cbor:"6,keyasint,omitempty"`
 	}
 
-	// Redirect answers an Announce: it names the leader of the worker's region.
+	// Redirect answers an Announce: it names the leader of the worker's region and
+	// the newest revision that the gate holds.
 	Redirect struct {
-		Leader machine.Node `cbor:"1,keyasint"`
-		Epoch  lease.Epoch  `cbor:"2,keyasint"`
+		Leader   machine.Node `cbor:"1,keyasint"`
+		Epoch    lease.Epoch  `cbor:"2,keyasint"`
+		Revision Revision     `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Fence raises an agent's epoch and asks what it holds.
