--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -38,6 +38,7 @@
 		unknown     *gate.UnknownJobError
 		mismatch    *gate.MismatchError
 		denied      *gate.DeniedError
+		limited     *gate.RateError
 		unavailable *gate.UnavailableError
 	)
 	p := Problem{Status: http.StatusInternalServerError, Detail: err.Error(), Ran: job.MayHaveRun}
@@ -50,6 +51,8 @@
 		p.Status, p.Job, p.Field, p.Ran = http.StatusUnprocessableEntity, mismatch.ID, "Idempotency-Key", job.NotRun
 	case errors.As(err, &denied):
 		p.Status, p.Ran = http.StatusForbidden, job.NotRun
+	case errors.As(err, &limited):
+		p.Status, p.Ran = http.StatusTooManyRequests, job.NotRun
 	case errors.As(err, &unavailable):
 		p.Status, p.Ran = http.StatusServiceUnavailable, unavailable.Ran
 	}
--- a/internal/caller/spec.go
+++ b/internal/caller/spec.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
@@ -92,7 +93,7 @@
 func decodeError(err error) error {
 	var mistyped *json.UnmarshalTypeError
 	if errors.As(err, &mistyped) {
-		return bad(mistyped.Field, "cannot be "+mistyped.Value)
+		return bad(cmp.Or(mistyped.Field, "body"), "cannot be "+mistyped.Value)
 	}
 	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
 		return bad(strings.Trim(name, `"`), "unknown field")
--- a/internal/gate/errors.go
+++ b/internal/gate/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/job"
@@ -24,6 +25,13 @@
 		Account account.Name
 	}
 
+	// RateError says that an account makes too many requests, and how long to
+	// wait before the next.
+	RateError struct {
+		Account account.Name
+		After   time.Duration
+	}
+
 	// UnavailableError says that the request cannot be carried out now, and
 	// whether the job ran.
 	UnavailableError struct {
@@ -44,6 +52,10 @@
 	return fmt.Sprintf("the token does not open account %s", e.Account)
 }
 
+func (e *RateError) Error() string {
+	return fmt.Sprintf("account %s makes too many requests", e.Account)
+}
+
 func (e *UnavailableError) Error() string {
 	return e.Reason
 }
--- a/internal/gate/front.go
+++ b/internal/gate/front.go
@@ -19,6 +19,7 @@
 	// front holds callers' requests until each has its reply.
 	front struct {
 		gate     *Gate
+		limiter  *limiter
 		requests map[RequestID]*request
 	}
 
@@ -38,11 +39,11 @@
 )
 
 func newFront(g *Gate) *front {
-	return &front{gate: g, requests: make(map[RequestID]*request)}
+	return &front{gate: g, limiter: newLimiter(g.config), requests: make(map[RequestID]*request)}
 }
 
 func (f *front) request(now time.Time, event machine.Event) {
-	if err := f.denied(event); err != nil || f.gate.directory.refuses(now, event) {
+	if err := f.denied(now, event); err != nil || f.gate.directory.refuses(now, event) {
 		return
 	}
 	switch e := event.(type) {
@@ -67,21 +68,24 @@
 }
 
 // denied replies to a request whose token does not open its account.
-func (f *front) denied(event machine.Event) error {
+func (f *front) denied(now time.Time, event machine.Event) error {
 	switch e := event.(type) {
 	case Submit:
-		return f.deny(e.Request, e.Spec.Account, e.Token)
+		return f.deny(now, e.Request, e.Spec.Account, e.Token)
 	case Lookup:
-		return f.deny(e.Request, e.Account, e.Token)
+		return f.deny(now, e.Request, e.Account, e.Token)
 	case Cancel:
-		return f.deny(e.Request, e.Account, e.Token)
+		return f.deny(now, e.Request, e.Account, e.Token)
 	default:
 		return nil
 	}
 }
 
-func (f *front) deny(id RequestID, name account.Name, token account.TokenHash) error {
+func (f *front) deny(now time.Time, id RequestID, name account.Name, token account.TokenHash) error {
 	err := f.gate.directory.check(name, token)
+	if err == nil {
+		err = f.limiter.check(now, name)
+	}
 	if err != nil {
 		f.gate.observeError("", err)
 		f.gate.emit(Reply{Request: id, Err: err})
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
@@ -54,6 +56,8 @@
 		ReserveTimeout time.Duration
 		MaxAttempts    job.Attempt
 		Remember       time.Duration
+		Rate           rate.Limit
+		Burst          int
 		Lease          []lease.Option
 		Policy         func() scheduler.Policy
 		Gates          []machine.Node
@@ -142,6 +146,8 @@
 		ReserveTimeout: DefaultReserveTimeout,
 		MaxAttempts:    DefaultMaxAttempts,
 		Remember:       DefaultRemember,
+		Rate:           DefaultRate,
+		Burst:          DefaultBurst,
 		Policy:         scheduler.NewFirstFit,
 	}
 	for _, option := range options {
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -58,6 +58,9 @@
 	// ReasonDenied is a wrong account or token.
 	ReasonDenied Reason = "denied"
 
+	// ReasonRate is an account that makes too many requests.
+	ReasonRate Reason = "rate"
+
 	// ReasonQueue is a queue limit that is reached.
 	ReasonQueue Reason = "queue"
 
@@ -104,12 +107,15 @@
 func (g *Gate) observeError(name account.Name, err error) {
 	var (
 		denied      *DeniedError
+		limited     *RateError
 		mismatch    *MismatchError
 		unavailable *UnavailableError
 	)
 	switch {
 	case errors.As(err, &denied):
 		g.emit(JobRefused{Reason: ReasonDenied})
+	case errors.As(err, &limited):
+		g.emit(JobRefused{Reason: ReasonRate})
 	case errors.As(err, &mismatch):
 		g.emit(JobRefused{Account: name, Reason: ReasonMismatch})
 	case errors.As(err, &unavailable):
