--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -84,6 +84,7 @@
 		{"negative time", "k", `{"account":"a","class":"c","expected":"-1s"}`, 400, "expected"},
 		{"endless time", "k", `{"account":"a","class":"c","expected":"9999h"}`, 400, "expected"},
 		{"two inputs", "k", `{"account":"a","class":"c","input":"x","object":"y"}`, 400, "object"},
+		{"large input", "k", `{"account":"a","class":"c","input":"` + strings.Repeat("x", job.MaxInline) + `"}`, 400, "input"},
 		{"oversized", "k", `{"account":"` + strings.Repeat("a", caller.MaxBody) + `"}`, 413, "body"},
 	}
 	for _, test := range tests {
--- a/internal/caller/spec.go
+++ b/internal/caller/spec.go
@@ -120,6 +120,8 @@
 		return bad("shape.adjacency", "must be worker, rack, datacentre or region")
 	case s.Adjacency == floor.AdjacentWorker && s.Workers > 1:
 		return bad("shape.adjacency", "several workers cannot be adjacent on one worker")
+	case len(b.Input) > job.MaxInline:
+		return bad("input", fmt.Sprintf("larger than %d bytes: put it into the object store and name it in object", job.MaxInline))
 	case len(b.Input) > 0 && b.Object != "":
 		return bad("object", "an input is given already")
 	case len(b.Object) > MaxKey:
--- /dev/null
+++ b/internal/command/docs_test.go
@@ -0,0 +1,132 @@
+package command_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"mvdan.cc/sh/v3/shell"
+)
+
+// devBase is the first port that the docs name for the command dev.
+const devBase = 7100
+
+// TestCallersPage runs the curl lines of the callers' page, in order, against
+// the command dev. None may be refused.
+func TestCallersPage(t *testing.T) {
+	port := startDev(t)
+	lines := curlLines(t, "../../docs/CALLERS.md")
+	if len(lines) == 0 {
+		t.Fatal("the page has no curl line")
+	}
+	for i, line := range lines {
+		request := parseCurl(t, line, port)
+		status, body := do(t, request)
+		for i == 0 && status != http.StatusOK {
+			<-time.After(100 * time.Millisecond)
+			status, body = do(t, parseCurl(t, line, port))
+		}
+		if status != http.StatusOK {
+			t.Errorf("%s\ngot %d %s", line, status, body)
+		}
+	}
+}
+
+// startDev runs the command dev until the test ends and returns its first port.
+func startDev(t *testing.T) int {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := freePorts(t)
+	process := exec.Command(self, "dev", "--port", strconv.Itoa(port))
+	process.Env = append(os.Environ(), asCommand+"=yes")
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := process.Process.Kill(); err != nil {
+			t.Error(err)
+		}
+		if err := process.Wait(); err == nil {
+			t.Error("dev ended by itself")
+		}
+	})
+	return port
+}
+
+func curlLines(t *testing.T, path string) []string {
+	t.Helper()
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	var lines []string
+	scanner := bufio.NewScanner(file)
+	for scanner.Scan() {
+		if line, ok := strings.CutPrefix(scanner.Text(), "    "); ok && strings.HasPrefix(line, "curl ") {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+// parseCurl returns the request that a curl line makes, with the docs' ports
+// replaced by those of the running region.
+func parseCurl(t *testing.T, line string, port int) *http.Request {
+	t.Helper()
+	for offset := range 2 {
+		line = strings.ReplaceAll(line, ":"+strconv.Itoa(devBase+offset)+"/", ":"+strconv.Itoa(port+offset)+"/")
+	}
+	words, err := shell.Fields(line, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	method, target, body, header := http.MethodGet, "", "", http.Header{}
+	for i := 1; i < len(words); i++ {
+		switch words[i] {
+		case "-s":
+		case "-X":
+			i++
+			method = words[i]
+		case "-d":
+			i++
+			body = words[i]
+		case "-H":
+			i++
+			name, value, _ := strings.Cut(words[i], ": ")
+			header.Set(name, value)
+		default:
+			target = words[i]
+		}
+	}
+	request, err := http.NewRequestWithContext(context.Background(), method, target, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header = header
+	return request
+}
+
+func do(t *testing.T, request *http.Request) (int, string) {
+	t.Helper()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
--- a/internal/command/script_test.go
+++ b/internal/command/script_test.go
@@ -16,7 +16,13 @@
 // portRun counts the runs of ports that scripts have asked for.
 var portRun atomic.Int32
 
+// asCommand is the variable that makes the test binary the command.
+const asCommand = "LOVAGEROAD_TEST_COMMAND"
+
 func TestMain(m *testing.M) {
+	if os.Getenv(asCommand) != "" {
+		os.Exit(command.Main(os.Args))
+	}
 	testscript.Main(m, map[string]func(){
 		"lovageroad": func() { os.Exit(command.Main(os.Args)) },
 	})
