--- /dev/null
+++ b/internal/baseline/pool.go
@@ -0,0 +1,198 @@
+package baseline
+
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+
+	"github.com/lovageroad/lovageroad/internal/floor"
+)
+
+const (
+	// firstOf takes the first workers with room, in the order of their cells
+	// and names.
+	firstOf order = iota
+
+	// bestOf takes the workers that are left with the fewest free accelerators,
+	// then slots, in the cell with the fewest.
+	bestOf
+)
+
+type (
+	order int
+
+	// pool is the floor, with workers in the order of their cells and names.
+	pool struct {
+		machines []machine
+		index    map[floor.WorkerID]int
+	}
+
+	machine struct {
+		worker floor.Worker
+		busy   floor.Accelerators
+		cores  int
+		memory floor.MiB
+		slots  int
+		drain  bool
+	}
+
+	// cell is the machines that may hold one job.
+	cell []*machine
+)
+
+func (p *pool) find(id floor.WorkerID) *machine {
+	if i, ok := p.index[id]; ok {
+		return &p.machines[i]
+	}
+	return nil
+}
+
+func (p *pool) add(worker floor.Worker) {
+	if m := p.find(worker.ID); m != nil {
+		m.worker, m.drain = worker, false
+		return
+	}
+	p.machines = append(p.machines, machine{worker: worker})
+	slices.SortFunc(p.machines, byCell)
+	p.reindex()
+}
+
+func (p *pool) remove(id floor.WorkerID) {
+	p.machines = slices.DeleteFunc(p.machines, func(m machine) bool { return m.worker.ID == id })
+	p.reindex()
+}
+
+func (p *pool) reindex() {
+	p.index = make(map[floor.WorkerID]int, len(p.machines))
+	for i, m := range p.machines {
+		p.index[m.worker.ID] = i
+	}
+}
+
+func (p *pool) take(placement floor.Placement, sign int) {
+	for _, share := range placement {
+		m := p.find(share.Worker)
+		if m == nil {
+			continue
+		}
+		if sign > 0 {
+			m.busy |= share.Accelerators
+		} else {
+			m.busy &^= share.Accelerators
+		}
+		m.cores += sign * share.Cores
+		m.memory += floor.MiB(sign) * share.Memory
+		m.slots += sign
+	}
+}
+
+// clone returns a copy that later changes to the pool do not reach. Workers must
+// not be added to it.
+func (p *pool) clone() pool {
+	return pool{machines: slices.Clone(p.machines), index: p.index}
+}
+
+// place returns a placement for the shape, or nil.
+func (p *pool) place(shape floor.Shape, o order) floor.Placement {
+	var best cell
+	least := 0
+	for rest := p.machines; len(rest) > 0; {
+		n := span(rest, shape.Adjacency)
+		chosen := choose(rest[:n], shape, o)
+		rest = rest[n:]
+		if chosen == nil {
+			continue
+		}
+		if o == firstOf {
+			return chosen.placement(shape)
+		}
+		if left := chosen.free(); best == nil || left < least {
+			best, least = chosen, left
+		}
+	}
+	return best.placement(shape)
+}
+
+// span returns how many of the first machines form a cell of the adjacency.
+func span(machines []machine, adjacency floor.Adjacency) int {
+	for i := range machines {
+		first, w := &machines[0].worker, &machines[i].worker
+		switch {
+		case adjacency == floor.AdjacentWorker && i > 0,
+			adjacency == floor.AdjacentRack && (w.Rack != first.Rack || w.DataCentre != first.DataCentre),
+			adjacency == floor.AdjacentDataCentre && w.DataCentre != first.DataCentre:
+			return i
+		}
+	}
+	return len(machines)
+}
+
+func choose(machines []machine, shape floor.Shape, o order) cell {
+	var fit cell
+	for i := range machines {
+		if !machines[i].fits(shape) {
+			continue
+		}
+		fit = append(fit, &machines[i])
+		if o == firstOf && len(fit) == shape.Workers {
+			return fit
+		}
+	}
+	if len(fit) < shape.Workers {
+		return nil
+	}
+	slices.SortStableFunc(fit, func(x, y *machine) int {
+		return cmp.Or(cmp.Compare(x.free(), y.free()), cmp.Compare(y.slots, x.slots))
+	})
+	return fit[:shape.Workers]
+}
+
+func (c cell) free() int {
+	n := 0
+	for _, m := range c {
+		n += m.free()
+	}
+	return n
+}
+
+func (c cell) placement(shape floor.Shape) floor.Placement {
+	var placement floor.Placement
+	for _, m := range c {
+		placement = append(placement, floor.Share{
+			Worker: m.worker.ID, Accelerators: m.pick(shape.Accelerators), Cores: shape.Cores, Memory: shape.Memory,
+		})
+	}
+	return placement
+}
+
+func (m *machine) free() int {
+	return m.worker.Accelerators - bits.OnesCount64(uint64(m.busy))
+}
+
+func (m *machine) fits(shape floor.Shape) bool {
+	return !m.drain &&
+		m.free() >= shape.Accelerators &&
+		m.worker.Cores-m.cores >= shape.Cores &&
+		m.worker.Memory-m.memory >= shape.Memory &&
+		m.worker.Slots > m.slots
+}
+
+// pick returns the lowest n free accelerators.
+func (m *machine) pick(n int) floor.Accelerators {
+	var picked floor.Accelerators
+	for i := 0; n > 0; i++ {
+		if bit := floor.Accelerators(1) << i; m.busy&bit == 0 {
+			picked |= bit
+			n--
+		}
+	}
+	return picked
+}
+
+func byCell(x, y machine) int {
+	return cmp.Or(
+		cmp.Compare(x.worker.DataCentre, y.worker.DataCentre),
+		cmp.Compare(x.worker.Rack, y.worker.Rack),
+		cmp.Compare(x.worker.ID, y.worker.ID),
+	)
+}
