Decide by guaranteed cells, reservations and loss

The gate's default policy binds each account's guaranteed shapes to disjoint places, lends what is not claimed, and reclaims the least loss. Outcome tells a cancelled run from one that ended.

--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -123,3 +123,20 @@
 	}
 	return s
 }
+
+// Draw returns the cooling that a share of the worker stands for: that of its
+// accelerators, or a quarter of that of its cores on a worker that has
+// accelerators, whichever is more.
+func (w Worker) Draw(s Share) Watts {
+	var accelerators, cores Watts
+	if w.Accelerators > 0 {
+		accelerators = w.Cooling * Watts(s.Accelerators.Count()) / Watts(w.Accelerators)
+	}
+	if w.Cores > 0 {
+		cores = w.Cooling * Watts(s.Cores) / Watts(w.Cores)
+	}
+	if w.Accelerators > 0 {
+		cores /= 4
+	}
+	return max(accelerators, cores)
+}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -328,7 +328,10 @@
 }
 
 func outcomeOf(record job.Record) scheduler.Outcome {
-	outcome := scheduler.Outcome{Failed: record.State == job.StateFailed}
+	outcome := scheduler.Outcome{
+		Failed:    record.State == job.StateFailed,
+		Cancelled: record.State == job.StateCancelled,
+	}
 	if !record.Started.IsZero() {
 		outcome.Elapsed = record.Ended.Sub(record.Started)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -140,7 +140,7 @@
 		ReserveTimeout: DefaultReserveTimeout,
 		MaxAttempts:    DefaultMaxAttempts,
 		Remember:       DefaultRemember,
-		Policy:         scheduler.NewFirstFit,
+		Policy:         func() scheduler.Policy { return scheduler.New() },
 	}
 	for _, option := range options {
 		option(&config)
--- /dev/null
+++ b/internal/scheduler/borrow.go
@@ -0,0 +1,124 @@
+package scheduler
+
+// startUrgent starts urgent work that no guarantee covers, on a free place or on
+// one that borrowers leave.
+func (p *policy) startUrgent() {
+	for _, c := range p.classes {
+		for _, l := range c.lanes {
+			if l.rank == urgentRank {
+				p.startUrgentLane(l)
+			}
+		}
+	}
+}
+
+func (p *policy) startUrgentLane(l *lane) {
+	for l.len() > 0 && l.tried != p.changes {
+		t := l.head()
+		shares := p.place(t, viewFree)
+		if shares == nil && !p.recovering() {
+			shares = p.place(t, viewReclaim)
+		}
+		if shares == nil {
+			l.tried = p.changes
+			return
+		}
+		t.shares = shares
+		p.settle(t, p.config.UrgentGrace)
+	}
+}
+
+// startBorrowed starts waiting jobs on places that are free.
+func (p *policy) startBorrowed() {
+	p.startHeads()
+	for {
+		l := p.pick()
+		if l == nil {
+			return
+		}
+		t := l.head()
+		shares := p.place(t, viewFree)
+		if shares == nil {
+			p.block(l)
+			continue
+		}
+		t.shares = shares
+		p.dequeue(t)
+		p.fillHole(t)
+		p.start(t)
+	}
+}
+
+// pick returns the lane that goes first of those that may have a place: within
+// an account by the order of classes, among accounts by what they hold.
+func (p *policy) pick() *lane {
+	p.chosenTenants = p.chosenTenants[:0]
+	for _, c := range p.classes {
+		if c.blocked == p.freed {
+			continue
+		}
+		for _, l := range c.lanes {
+			if l.blocked != p.freed {
+				p.consider(l)
+			}
+		}
+	}
+	var best *lane
+	score := 0.0
+	for _, t := range p.chosenTenants {
+		s := t.score / (1 + float64(t.weight)*float64(len(p.tenants))/float64(max(1, p.floor.total)))
+		if best == nil || s > score {
+			best, score = t.best, s
+		}
+		t.best = nil
+	}
+	return best
+}
+
+// consider notes a lane if it is the best of its account.
+func (p *policy) consider(l *lane) {
+	t := l.tenant
+	ratio := l.ratio(p.now)
+	switch {
+	case t.best == nil:
+		p.chosenTenants = append(p.chosenTenants, t)
+	case l.rank > t.best.rank, l.rank == t.best.rank && ratio <= t.score:
+		return
+	}
+	t.best, t.score = l, ratio
+}
+
+// block notes that nothing is free for a lane, or for all lanes of its shape.
+func (p *policy) block(l *lane) {
+	l.blocked = p.freed
+	if len(p.heads) == 0 {
+		l.class.blocked = p.freed
+		return
+	}
+	t := l.head()
+	q := p.query(t, viewFree)
+	q.until = p.now
+	if p.find(q) == nil {
+		l.class.blocked = p.freed
+	}
+}
+
+// place searches for a task.
+func (p *policy) place(t *task, v view) []share {
+	return p.find(p.query(t, v))
+}
+
+func (p *policy) query(t *task, v view) *query {
+	p.scratch = query{
+		view:    v,
+		need:    needOf(t.Shape),
+		workers: t.Shape.Workers,
+		width:   t.Shape.Adjacency,
+		until:   p.now.Add(t.longest()),
+		head:    t.head,
+		task:    t,
+		pack:    t.tenant.pack(),
+		keep:    t.tenant.keep(),
+	}
+	return &p.scratch
+}
--- /dev/null
+++ b/internal/scheduler/cooling.go
@@ -0,0 +1,222 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/floor"
+)
+
+const (
+	// calmPart is the part of a budget, in percent, below which slowed jobs run
+	// at full speed again.
+	calmPart = 90
+)
+
+// budget is a cooling limit with what counts against it: what is set aside for
+// guarantees, and what borrowers stand for.
+type budget struct {
+	limit   floor.Watts
+	aside   floor.Watts
+	lent    floor.Watts
+	hot     bool
+	due     time.Time
+	workers []*worker
+}
+
+// rebuildBudgets attaches the limits to the workers they hold for.
+func (f *plan) rebuildBudgets() {
+	for _, w := range f.workers {
+		w.budgets = nil
+	}
+	f.budgets = nil
+	for _, limit := range f.limits {
+		b := &budget{limit: limit.Cooling}
+		for _, w := range f.workers {
+			if limit.covers(w.Worker) {
+				w.budgets = append(w.budgets, b)
+				b.workers = append(b.workers, w)
+				b.count(w)
+			}
+		}
+		f.budgets = append(f.budgets, b)
+	}
+}
+
+func (l Budget) covers(w floor.Worker) bool {
+	return l.DataCentre == "" || l.DataCentre == w.DataCentre && (l.Rack == "" || l.Rack == w.Rack)
+}
+
+// count adds what stands on a worker already.
+func (b *budget) count(w *worker) {
+	for _, c := range w.cells {
+		for i := range c.seats {
+			if s := c.seats[i].share; s.worker == w {
+				b.aside += w.draw(s)
+			}
+		}
+	}
+	for _, list := range [][]*task{w.tasks, w.pending} {
+		for _, t := range list {
+			if t.cell == nil {
+				b.lent += w.draw(share{mask: t.maskOn(w), amount: t.on(w)})
+			}
+		}
+	}
+}
+
+// affordable reports whether the share's cooling is left in all its budgets.
+func (q *query) affordable(s share) bool {
+	for _, b := range s.worker.budgets {
+		used := b.aside
+		if q.view == viewFree {
+			used += b.lent
+			if b.hot {
+				return false
+			}
+		}
+		if used+s.worker.draw(s) > b.limit {
+			return false
+		}
+	}
+	return true
+}
+
+// reserve counts a share for a moment while its gang is put together.
+func (s share) reserve(sign floor.Watts) {
+	for _, b := range s.worker.budgets {
+		b.aside += sign * s.worker.draw(s)
+	}
+}
+
+func (s share) setAside(sign floor.Watts) {
+	s.reserve(sign)
+}
+
+func (s share) lend(sign floor.Watts) {
+	for _, b := range s.worker.budgets {
+		b.lent += sign * s.worker.draw(s)
+	}
+}
+
+func (p *policy) SetBudgets(budgets []Budget) {
+	p.floor.limits = slices.Clone(budgets)
+	p.floor.rebuildBudgets()
+	p.broken = true
+	p.free()
+}
+
+func (p *policy) Report(at time.Time, id floor.WorkerID, draw floor.Watts) {
+	w, ok := p.floor.byID[id]
+	if !ok || at.Before(w.reported) {
+		return
+	}
+	w.drawn, w.reported = draw, at
+	p.changes++
+}
+
+// drawing is what a worker draws: what was reported, unless it is older than
+// what started since.
+func (w *worker) drawing(now time.Time, lag time.Duration) floor.Watts {
+	if w.reported.IsZero() || now.Sub(w.reported) > 2*lag {
+		return w.nominal
+	}
+	return w.drawn
+}
+
+// cool slows borrowers of budgets that are passed, then reclaims them.
+func (p *policy) cool() {
+	for _, b := range p.floor.budgets {
+		drawn := floor.Watts(0)
+		for _, w := range b.workers {
+			drawn += w.drawing(p.now, p.config.ReportLag)
+		}
+		switch over := max(drawn, b.aside+b.lent) > b.limit; {
+		case over && !p.now.Before(b.due):
+			b.hot = true
+			p.relieve(b, max(drawn, b.aside+b.lent)-b.limit)
+		case !over && b.hot && drawn*100 <= b.limit*calmPart:
+			b.hot = false
+			b.due = time.Time{}
+			p.free()
+		}
+		if !b.hot {
+			p.quicken(b, drawn)
+		}
+	}
+}
+
+// relieve takes a step against what a budget is passed by, and gives it the time
+// that reports lag to show.
+func (p *policy) relieve(b *budget, excess floor.Watts) {
+	b.due = p.now.Add(p.config.ReportLag)
+	for excess > 0 {
+		t := p.coolest(b, func(t *task) bool { return !t.slow && b.aside+b.lent <= b.limit })
+		if t == nil {
+			break
+		}
+		t.slow = true
+		t.slowed = p.now
+		p.decide(Throttle{Job: t.ID, Slow: true})
+		excess -= b.drawn(t) / 2
+	}
+	for excess > 0 {
+		t := p.coolest(b, func(t *task) bool { return !t.slow || !p.now.Before(t.slowed.Add(p.config.ReportLag)) })
+		if t == nil {
+			return
+		}
+		excess -= b.drawn(t)
+		p.displace(t, p.config.Grace)
+	}
+}
+
+// quicken lets slowed jobs run at full speed while there is room.
+func (p *policy) quicken(b *budget, drawn floor.Watts) {
+	for _, w := range b.workers {
+		for _, t := range w.tasks {
+			if t.slow && t.state == stateRunning && (drawn+b.drawn(t)/2)*100 <= b.limit*calmPart && t.calm() {
+				t.slow = false
+				drawn += b.drawn(t) / 2
+				p.decide(Throttle{Job: t.ID})
+			}
+		}
+	}
+}
+
+// calm reports whether none of the task's budgets is passed.
+func (t *task) calm() bool {
+	for _, s := range t.shares {
+		if slices.ContainsFunc(s.worker.budgets, func(b *budget) bool { return b.hot }) {
+			return false
+		}
+	}
+	return true
+}
+
+// coolest returns the running borrower under a budget whose leaving costs least.
+func (p *policy) coolest(b *budget, wanted func(*task) bool) *task {
+	var best *task
+	lowest := forbidden
+	for _, w := range b.workers {
+		for _, t := range w.tasks {
+			if t.state != stateRunning || t.cell != nil || !wanted(t) {
+				continue
+			}
+			if price := p.weigh(t); price < lowest && b.drawn(t) > 0 {
+				best, lowest = t, price
+			}
+		}
+	}
+	return best
+}
+
+// drawn is what a task stands for under the budget.
+func (b *budget) drawn(t *task) floor.Watts {
+	total := floor.Watts(0)
+	for _, s := range t.shares {
+		if slices.Contains(s.worker.budgets, b) {
+			total += s.worker.draw(s)
+		}
+	}
+	return total
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -97,10 +97,12 @@
 	}
 
 	// Outcome is how the run of a job ended, as far as the policy learns from it.
+	// A cancelled run teaches nothing.
 	Outcome struct {
-		Failed  bool
-		Blamed  floor.WorkerID
-		Elapsed time.Duration
+		Failed    bool
+		Cancelled bool
+		Blamed    floor.WorkerID
+		Elapsed   time.Duration
 	}
 
 	// Policy holds the floor, the accounts and the jobs of one region, and
