--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -88,9 +88,7 @@
 		if !t.known {
 			t.parameters = account.DefaultParameters()
 		}
-		for _, l := range t.lanes {
-			l.rank = t.rank(l.key.class)
-		}
+		p.setRanks(t)
 		p.setCells(t)
 		t.dirty = true
 	}
@@ -105,6 +103,23 @@
 	p.free()
 }
 
+// setRanks orders the classes of a tenant anew.
+func (p *policy) setRanks(t *tenant) {
+	for _, l := range t.lanes {
+		l.rank = t.rank(l.key.class)
+		p.urgent = without(p.urgent, l)
+		if l.rank == urgentRank {
+			p.urgent = append(p.urgent, l)
+		}
+		for _, k := range l.tasks[l.first:] {
+			k.urgent = l.rank == urgentRank
+		}
+	}
+	for _, k := range t.active {
+		k.urgent = t.rank(k.Class) == urgentRank
+	}
+}
+
 // setCells gives a tenant the cells that its guarantees name. Cells that are no
 // longer guaranteed go, those in use last.
 func (p *policy) setCells(t *tenant) {
--- a/internal/scheduler/borrow.go
+++ b/internal/scheduler/borrow.go
@@ -1,14 +1,12 @@
 package scheduler
 
+import "slices"
+
 // startUrgent starts urgent work that no guarantee covers, on a free place or on
 // one that borrowers leave.
 func (p *policy) startUrgent() {
-	for _, c := range p.classes {
-		for _, l := range c.lanes {
-			if l.rank == urgentRank {
-				p.startUrgentLane(l)
-			}
-		}
+	for _, l := range slices.Clone(p.urgent) {
+		p.startUrgentLane(l)
 	}
 }
 
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -53,11 +53,25 @@
 	return true
 }
 
-// bestOffer returns the place in the account's cells that costs the least.
+// bestOffer returns the place in the account's cells that costs the least. A
+// cell without tasks may change its place first.
 func (p *policy) bestOffer(t *task) (offer, bool) {
-	var best offer
-	var spare *cell
-	found := false
+	best, spare, ok := p.offers(t)
+	if !ok || best.loss == 0 || spare == nil {
+		return best, ok
+	}
+	if p.move(spare) {
+		best, spare, ok = p.offers(t)
+	}
+	if !ok || best.loss == 0 || spare == nil {
+		return best, ok
+	}
+	return p.swapped(t, spare, best), true
+}
+
+// offers returns the best place in the account's cells as they stand, and the
+// smallest fitting cell without tasks.
+func (p *policy) offers(t *task) (best offer, spare *cell, found bool) {
 	for _, c := range t.tenant.cells {
 		o, ok := p.carve(t, c)
 		if !ok {
@@ -70,15 +84,7 @@
 			spare = c
 		}
 	}
-	if !found || best.loss == 0 || spare == nil {
-		return best, found
-	}
-	if p.move(spare) {
-		if o, ok := p.carve(t, spare); ok && better(o, best) {
-			return o, true
-		}
-	}
-	return p.swapped(t, spare, best), true
+	return best, spare, found
 }
 
 // better prefers the least loss, then cells in use, then small cells.
--- a/internal/scheduler/cooling.go
+++ b/internal/scheduler/cooling.go
@@ -14,11 +14,12 @@
 )
 
 // budget is a cooling limit with what counts against it: what is set aside for
-// guarantees, and what borrowers stand for.
+// guarantees, what borrowers stand for, and what all that runs stands for.
 type budget struct {
 	limit   floor.Watts
 	aside   floor.Watts
 	lent    floor.Watts
+	running floor.Watts
 	hot     bool
 	due     time.Time
 	workers []*worker
@@ -49,6 +50,7 @@
 
 // count adds what stands on a worker already.
 func (b *budget) count(w *worker) {
+	b.running += w.nominal
 	for _, c := range w.cells {
 		for i := range c.seats {
 			if s := c.seats[i].share; s.worker == w {
@@ -82,6 +84,22 @@
 	return true
 }
 
+// affordable reports whether the cooling of all shares is left for a borrower.
+func affordable(shares []share) bool {
+	fits := true
+	for i, s := range shares {
+		fits = fits && (&query{}).affordable(s)
+		s.reserve(1)
+		if !fits || i == len(shares)-1 {
+			for _, r := range shares[:i+1] {
+				r.reserve(-1)
+			}
+			break
+		}
+	}
+	return fits
+}
+
 // reserve counts a share for a moment while its gang is put together.
 func (s share) reserve(sign floor.Watts) {
 	for _, b := range s.worker.budgets {
@@ -93,6 +111,15 @@
 	s.reserve(sign)
 }
 
+// load counts a share that starts or ends to run.
+func (s share) load(sign floor.Watts) {
+	draw := sign * s.worker.draw(s)
+	s.worker.nominal += draw
+	for _, b := range s.worker.budgets {
+		b.running += draw
+	}
+}
+
 func (s share) lend(sign floor.Watts) {
 	for _, b := range s.worker.budgets {
 		b.lent += sign * s.worker.draw(s)
@@ -131,10 +158,11 @@
 		for _, w := range b.workers {
 			drawn += w.drawing(p.now, p.config.ReportLag)
 		}
-		switch over := max(drawn, b.aside+b.lent) > b.limit; {
-		case over && !p.now.Before(b.due):
+		promised := b.aside + b.lent - b.leaving()
+		switch over := max(drawn, promised) > b.limit; {
+		case promised > b.limit, over && !p.now.Before(b.due):
 			b.hot = true
-			p.relieve(b, max(drawn, b.aside+b.lent)-b.limit)
+			p.relieve(b, max(drawn, promised)-b.limit, promised > b.limit)
 		case !over && b.hot && drawn*100 <= b.limit*calmPart:
 			b.hot = false
 			b.due = time.Time{}
@@ -148,10 +176,10 @@
 
 // relieve takes a step against what a budget is passed by, and gives it the time
 // that reports lag to show.
-func (p *policy) relieve(b *budget, excess floor.Watts) {
+func (p *policy) relieve(b *budget, excess floor.Watts, promised bool) {
 	b.due = p.now.Add(p.config.ReportLag)
-	for excess > 0 {
-		t := p.coolest(b, func(t *task) bool { return !t.slow && b.aside+b.lent <= b.limit })
+	for excess > 0 && !promised {
+		t := p.coolest(b, func(t *task) bool { return !t.slow })
 		if t == nil {
 			break
 		}
@@ -161,7 +189,7 @@
 		excess -= b.drawn(t) / 2
 	}
 	for excess > 0 {
-		t := p.coolest(b, func(t *task) bool { return !t.slow || !p.now.Before(t.slowed.Add(p.config.ReportLag)) })
+		t := p.coolest(b, func(t *task) bool { return promised || !t.slow || !p.now.Before(t.slowed.Add(p.config.ReportLag)) })
 		if t == nil {
 			return
 		}
@@ -210,6 +238,36 @@
 	return best
 }
 
+// leaving is what borrowers stand for that were told to leave.
+func (b *budget) leaving() floor.Watts {
+	total := floor.Watts(0)
+	for _, w := range b.workers {
+		for _, t := range w.tasks {
+			if t.state == stateLeaving && t.cell == nil {
+				total += w.draw(share{mask: t.maskOn(w), amount: t.on(w)})
+			}
+		}
+	}
+	return total
+}
+
+// cooled reports whether all of a task may run beside what runs already.
+func (t *task) cooled() bool {
+	for _, s := range t.shares {
+		s.load(1)
+	}
+	fits := true
+	for _, s := range t.shares {
+		for _, b := range s.worker.budgets {
+			fits = fits && b.running <= b.limit
+		}
+	}
+	for _, s := range t.shares {
+		s.load(-1)
+	}
+	return fits
+}
+
 // drawn is what a task stands for under the budget.
 func (b *budget) drawn(t *task) floor.Watts {
 	total := floor.Watts(0)
--- a/internal/scheduler/head.go
+++ b/internal/scheduler/head.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		shares := h.shares
-		if slices.ContainsFunc(shares, func(s share) bool { return !s.open() }) {
+		if slices.ContainsFunc(shares, func(s share) bool { return !s.open() }) || !affordable(shares) {
 			shares = p.place(t, viewFree)
 		}
 		if shares == nil {
@@ -53,7 +53,7 @@
 func (s share) open() bool {
 	w := s.worker
 	return s.clear() && w.held&s.mask == 0 &&
-		w.busyAmount.plus(w.heldAmount).plus(s.amount).within(w.capacity()) && (&query{}).affordable(s)
+		w.busyAmount.plus(w.heldAmount).plus(s.amount).within(w.capacity())
 }
 
 // reserveHeads gives the jobs that waited longest a reservation.
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -57,6 +57,7 @@
 		byName   map[account.Name]*tenant
 		tasks    map[job.ID]*task
 		classes  []*class
+		urgent   []*lane
 		byShape  map[floor.Shape]*class
 		lanes    map[laneKey]*lane
 		cells    []*cell
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -138,12 +138,16 @@
 	}
 	l.class.lanes = append(l.class.lanes, l)
 	t.tenant.lanes = append(t.tenant.lanes, l)
+	if l.rank == urgentRank {
+		p.urgent = append(p.urgent, l)
+	}
 	return l
 }
 
 // drop forgets an empty lane.
 func (p *policy) drop(l *lane) {
 	delete(p.lanes, l.key)
+	p.urgent = without(p.urgent, l)
 	l.tenant.lanes = without(l.tenant.lanes, l)
 	l.class.lanes = without(l.class.lanes, l)
 	if len(l.class.lanes) == 0 {
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -160,7 +160,7 @@
 func (p *policy) startPending() {
 	p.chosen = append(p.chosen[:0], p.pending...)
 	for _, t := range p.chosen {
-		if slices.ContainsFunc(t.shares, func(s share) bool { return !s.clear() }) {
+		if slices.ContainsFunc(t.shares, func(s share) bool { return !s.clear() }) || !t.cooled() {
 			continue
 		}
 		shares := t.shares
@@ -182,7 +182,7 @@
 		}
 		free = free && s.clear()
 	}
-	if free {
+	if free && t.cooled() {
 		p.start(t)
 		return
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -160,7 +160,7 @@
 func (s share) occupy(t *task) {
 	s.worker.busy |= s.mask
 	s.worker.busyAmount = s.worker.busyAmount.plus(s.amount)
-	s.worker.nominal += s.worker.draw(s)
+	s.load(1)
 	s.worker.tasks = append(s.worker.tasks, t)
 	s.worker.count(1)
 }
@@ -168,7 +168,7 @@
 func (s share) vacate(t *task) {
 	s.worker.busy &^= s.mask
 	s.worker.busyAmount = s.worker.busyAmount.minus(s.amount)
-	s.worker.nominal -= s.worker.draw(s)
+	s.load(-1)
 	s.worker.tasks = without(s.worker.tasks, t)
 	s.worker.count(-1)
 }
