--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -39,6 +39,7 @@
 			newGate(),
 			newAgent(),
 			newPlatform(),
+			newRunner(),
 			newDev(),
 			newJob(),
 			newStatus(),
@@ -67,6 +68,10 @@
 	return roleCommand("platform", "stand in for the platform's table service and object store; for tests and dev, keeps nothing", lovageroad.NewPlatform)
 }
 
+func newRunner() *cli.Command {
+	return roleCommand("runner", "stand in for the runner of an upstream; for tests and dev, its tasks only sleep", lovageroad.NewRunner)
+}
+
 // roleCommand returns the command that runs a role with the settings in the
 // section of its name.
 func roleCommand[T any](name, usage string, role func(T, ...lovageroad.Option) lovageroad.Role) *cli.Command {
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -127,10 +127,14 @@
 		State:     job.StateQueued,
 		Submitted: now,
 	}}
+	var refused *scheduler.RefusedError
+	err := l.policy.Admit(now, described(e.record))
+	if errors.As(err, &refused) && refused.Never && !l.floorKnown(now) {
+		return
+	}
 	e.watch(from)
 	l.jobs[m.ID] = e
-	var refused *scheduler.RefusedError
-	if err := l.policy.Admit(now, described(e.record)); errors.As(err, &refused) {
+	if refused != nil {
 		e.record.State = job.StateRefused
 		e.record.Ran = job.NotRun
 		e.record.Reason = refused.Reason
--- a/lovageroad.go
+++ b/lovageroad.go
@@ -46,6 +46,9 @@
 	// PlatformSettings are the settings of the stand-in for the platform.
 	PlatformSettings = settings.Platform
 
+	// RunnerSettings are the settings of the stand-in for a runner.
+	RunnerSettings = settings.Runner
+
 	// Keys gives a process its certificate and the authorities that it trusts.
 	Keys = mtls.Source
 
