--- a/internal/bench/check.go
+++ b/internal/bench/check.go
@@ -150,7 +150,7 @@
 	e.claim = claim{}
 	r.result.Claims = append(r.result.Claims, took)
 	if took > ReclaimBound {
-		r.result.Violated = append(r.result.Violated, violation(e, took))
+		r.result.Violated = append(r.result.Violated, finding(e, "claimed", took))
 	}
 }
 
@@ -171,8 +171,10 @@
 	r.result.Broken = append(r.result.Broken, fmt.Sprintf("%v %s: %s", r.now, id, reason))
 }
 
-func violation(e *entry, took time.Duration) string {
-	return fmt.Sprintf("%s of %s/%s (%d x %d) claimed for %v", e.ID, e.Account, e.Class, e.Shape.Workers, e.Shape.Accelerators, took)
+// finding describes a job that had to wait too long.
+func finding(e *entry, what string, took time.Duration) string {
+	return fmt.Sprintf("%s of %s/%s (%d x %d, submitted %v, ran %v) %s for %v",
+		e.ID, e.Account, e.Class, e.Shape.Workers, e.Shape.Accelerators, e.At, e.Run, what, took)
 }
 
 // holds reports whether the guaranteed shape has room for the other.
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -135,7 +135,7 @@
 	if e.outcome == Open {
 		res.Never++
 		if e.claim.open && !e.claim.void && r.now-e.claim.since > ReclaimBound {
-			res.Violated = append(res.Violated, violation(e, r.now-e.claim.since))
+			res.Violated = append(res.Violated, finding(e, "claimed", r.now-e.claim.since))
 		}
 	}
 	if e.Uncounted || (e.outcome != Done && e.outcome != Open) {
@@ -146,7 +146,7 @@
 		took = r.now - e.At
 	}
 	if delay := took - e.Run; delay > allowed {
-		res.Starved = append(res.Starved, violation(e, delay))
+		res.Starved = append(res.Starved, finding(e, "was delayed", delay))
 	}
 	if !e.started {
 		e.first = r.now
