--- a/internal/baseline/baseline.go
+++ b/internal/baseline/baseline.go
@@ -106,7 +106,14 @@
 	b.queue = slices.DeleteFunc(b.queue, func(q scheduler.Job) bool { return q.ID == id })
 }
 
-func (b *base) SetBudgets([]scheduler.Budget) {}
+// SetBudgets takes the budget of the whole region. Smaller ones are ignored.
+func (b *base) SetBudgets(budgets []scheduler.Budget) {
+	for _, limit := range budgets {
+		if limit.DataCentre == "" {
+			b.pool.budget = limit.Cooling
+		}
+	}
+}
 
 func (b *base) Report(time.Time, floor.WorkerID, floor.Watts) {}
 
--- a/internal/baseline/pool.go
+++ b/internal/baseline/pool.go
@@ -25,6 +25,8 @@
 	pool struct {
 		machines []machine
 		index    map[floor.WorkerID]int
+		budget   floor.Watts
+		drawn    floor.Watts
 	}
 
 	machine struct {
@@ -58,6 +60,9 @@
 }
 
 func (p *pool) remove(id floor.WorkerID) {
+	if m := p.find(id); m != nil {
+		p.drawn -= m.draw(m.busy.Count())
+	}
 	p.machines = slices.DeleteFunc(p.machines, func(m machine) bool { return m.worker.ID == id })
 	p.reindex()
 }
@@ -83,17 +88,33 @@
 		m.cores += sign * share.Cores
 		m.memory += floor.MiB(sign) * share.Memory
 		m.slots += sign
+		p.drawn += floor.Watts(sign) * m.draw(share.Accelerators.Count())
 	}
 }
 
 // clone returns a copy that later changes to the pool do not reach. Workers must
 // not be added to it.
 func (p *pool) clone() pool {
-	return pool{machines: slices.Clone(p.machines), index: p.index}
+	copied := *p
+	copied.machines = slices.Clone(p.machines)
+	return copied
 }
 
-// place returns a placement for the shape, or nil.
+// place returns a placement for the shape, or nil if there is none or the
+// cooling of the region does not reach.
 func (p *pool) place(shape floor.Shape, o order) floor.Placement {
+	chosen := p.cell(shape, o)
+	drawn := p.drawn
+	for _, m := range chosen {
+		drawn += m.draw(shape.Accelerators)
+	}
+	if p.budget > 0 && drawn > p.budget {
+		return nil
+	}
+	return chosen.placement(shape)
+}
+
+func (p *pool) cell(shape floor.Shape, o order) cell {
 	var best cell
 	least := 0
 	for rest := p.machines; len(rest) > 0; {
@@ -104,13 +125,13 @@
 			continue
 		}
 		if o == firstOf {
-			return chosen.placement(shape)
+			return chosen
 		}
 		if left := chosen.free(); best == nil || left < least {
 			best, least = chosen, left
 		}
 	}
-	return best.placement(shape)
+	return best
 }
 
 // span returns how many of the first machines form a cell of the adjacency.
@@ -169,6 +190,14 @@
 	return m.worker.Accelerators - bits.OnesCount64(uint64(m.busy))
 }
 
+// draw returns the most that a number of the machine's accelerators draws.
+func (m *machine) draw(n int) floor.Watts {
+	if m.worker.Accelerators == 0 {
+		return 0
+	}
+	return m.worker.Cooling * floor.Watts(n) / floor.Watts(m.worker.Accelerators)
+}
+
 func (m *machine) fits(shape floor.Shape) bool {
 	return !m.drain &&
 		m.free() >= shape.Accelerators &&
