--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -124,19 +124,15 @@
 	return s
 }
 
-// Draw returns the cooling that a share of the worker stands for: that of its
-// accelerators, or a quarter of that of its cores on a worker that has
-// accelerators, whichever is more.
+// Draw returns the cooling that a share of the worker stands for: three quarters
+// go with the accelerators and one with the cores, or all with the cores if the
+// worker has no accelerators.
 func (w Worker) Draw(s Share) Watts {
-	var accelerators, cores Watts
-	if w.Accelerators > 0 {
-		accelerators = w.Cooling * Watts(s.Accelerators.Count()) / Watts(w.Accelerators)
+	cores := Watts(max(1, w.Cores))
+	if w.Accelerators == 0 {
+		return w.Cooling * Watts(s.Cores) / cores
 	}
-	if w.Cores > 0 {
-		cores = w.Cooling * Watts(s.Cores) / Watts(w.Cores)
-	}
-	if w.Accelerators > 0 {
-		cores /= 4
-	}
-	return max(accelerators, cores)
+	accelerators := Watts(w.Accelerators)
+	part := 3*Watts(s.Accelerators.Count())*cores + Watts(s.Cores)*accelerators
+	return w.Cooling * part / (4 * cores * accelerators)
 }
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -144,6 +144,7 @@
 		t.cells = append(t.cells, c)
 		p.cells = append(p.cells, c)
 	}
+	slices.SortStableFunc(t.cells, func(x, y *cell) int { return x.size() - y.size() })
 }
 
 // wanted lists the shapes that the tenant is guaranteed, one by one.
--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -186,9 +186,6 @@
 		}
 		seats = append(seats, i)
 	}
-	for _, s := range t.shares {
-		s.lend(-1)
-	}
 	p.enter(t, c, seats, t.shares)
 	return true
 }
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -151,9 +151,6 @@
 		return
 	}
 	p.leaveCell(t)
-	for _, s := range t.shares {
-		s.lend(1)
-	}
 }
 
 // carve returns a place for a task in what is not taken of the cell.
@@ -198,9 +195,6 @@
 	if w == nil || !w.usable() || t.avoids(p.now, w) {
 		return share{}, false
 	}
-	if w.probation && len(w.tasks)+len(w.pending) > 0 {
-		return share{}, false
-	}
 	if !s.taken.plus(n.amount).within(s.share.amount) {
 		return share{}, false
 	}
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -87,13 +87,13 @@
 	return best, spare, found
 }
 
-// better prefers the least loss, then cells in use, then small cells.
+// better prefers the smallest cell, then the least loss, then a cell in use.
 func better(x, y offer) bool {
 	used := func(o offer) int { return min(1, len(o.cell.tasks)) }
 	return cmp.Or(
+		cmp.Compare(x.cell.size(), y.cell.size()),
 		cmp.Compare(x.loss, y.loss),
 		cmp.Compare(used(y), used(x)),
-		cmp.Compare(x.cell.size(), y.cell.size()),
 	) < 0
 }
 
--- a/internal/scheduler/cooling.go
+++ b/internal/scheduler/cooling.go
@@ -14,12 +14,14 @@
 )
 
 // budget is a cooling limit with what counts against it: what is set aside for
-// guarantees, what borrowers stand for, and what all that runs stands for.
+// guarantees, what all that runs stands for, and what jobs to come hold. What is
+// set aside is lent like accelerators, and reclaimed like them.
 type budget struct {
 	limit   floor.Watts
 	aside   floor.Watts
-	lent    floor.Watts
 	running floor.Watts
+	held    floor.Watts
+	trial   floor.Watts
 	hot     bool
 	due     time.Time
 	workers []*worker
@@ -58,26 +60,27 @@
 			}
 		}
 	}
-	for _, list := range [][]*task{w.tasks, w.pending} {
-		for _, t := range list {
-			if t.cell == nil {
-				b.lent += w.draw(share{mask: t.maskOn(w), amount: t.on(w)})
-			}
-		}
+	for _, t := range w.pending {
+		b.held += w.draw(share{mask: t.maskOn(w), amount: t.on(w)})
 	}
 }
 
 // affordable reports whether the share's cooling is left in all its budgets.
 func (q *query) affordable(s share) bool {
 	for _, b := range s.worker.budgets {
-		used := b.aside
-		if q.view == viewFree {
-			used += b.lent
+		used := b.trial + s.worker.draw(s)
+		switch q.view {
+		case viewFree:
 			if b.hot {
 				return false
 			}
+			used += b.running + b.held
+		case viewReclaim:
+			used += b.held
+		case viewUnbound:
+			used += b.aside
 		}
-		if used+s.worker.draw(s) > b.limit {
+		if used > b.limit {
 			return false
 		}
 	}
@@ -103,12 +106,14 @@
 // reserve counts a share for a moment while its gang is put together.
 func (s share) reserve(sign floor.Watts) {
 	for _, b := range s.worker.budgets {
-		b.aside += sign * s.worker.draw(s)
+		b.trial += sign * s.worker.draw(s)
 	}
 }
 
 func (s share) setAside(sign floor.Watts) {
-	s.reserve(sign)
+	for _, b := range s.worker.budgets {
+		b.aside += sign * s.worker.draw(s)
+	}
 }
 
 // load counts a share that starts or ends to run.
@@ -120,9 +125,10 @@
 	}
 }
 
-func (s share) lend(sign floor.Watts) {
+// keep counts a share that is held for a job to come.
+func (s share) keep(sign floor.Watts) {
 	for _, b := range s.worker.budgets {
-		b.lent += sign * s.worker.draw(s)
+		b.held += sign * s.worker.draw(s)
 	}
 }
 
@@ -158,12 +164,12 @@
 		for _, w := range b.workers {
 			drawn += w.drawing(p.now, p.config.ReportLag)
 		}
-		promised := b.aside + b.lent - b.leaving()
+		promised := b.running - b.leaving()
 		switch over := max(drawn, promised) > b.limit; {
 		case promised > b.limit, over && !p.now.Before(b.due):
 			b.hot = true
 			p.relieve(b, max(drawn, promised)-b.limit, promised > b.limit)
-		case !over && b.hot && drawn*100 <= b.limit*calmPart:
+		case !over && b.hot:
 			b.hot = false
 			b.due = time.Time{}
 			p.free()
@@ -251,6 +257,22 @@
 	return total
 }
 
+// clearCooling makes the least borrowers leave until a guaranteed or urgent task
+// fits into its budgets.
+func (p *policy) clearCooling(t *task, grace time.Duration) {
+	for _, s := range t.shares {
+		for _, b := range s.worker.budgets {
+			for b.running-b.leaving()+b.held+b.drawn(t) > b.limit {
+				v := p.coolest(b, func(v *task) bool { return t.cell != nil || !v.urgent })
+				if v == nil {
+					break
+				}
+				p.displace(v, grace)
+			}
+		}
+	}
+}
+
 // cooled reports whether all of a task may run beside what runs already.
 func (t *task) cooled() bool {
 	for _, s := range t.shares {
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -11,7 +11,7 @@
 	quarantineAfter = 3
 
 	// maxBans bounds how often the time of quarantine doubles.
-	maxBans = 5
+	maxBans = 2
 
 	// elsewhere is the number of workers on which a job has failed from which on
 	// the job is blamed.
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -92,9 +92,6 @@
 	t.slow = false
 	for _, s := range t.shares {
 		s.occupy(t)
-		if t.cell == nil {
-			s.lend(1)
-		}
 	}
 	t.tenant.running++
 	t.tenant.active = append(t.tenant.active, t)
@@ -110,9 +107,6 @@
 	}
 	for _, s := range t.shares {
 		s.vacate(t)
-		if t.cell == nil {
-			s.lend(-1)
-		}
 	}
 	t.tenant.running--
 	t.tenant.active = without(t.tenant.active, t)
@@ -128,9 +122,6 @@
 	t.state = statePending
 	for _, s := range t.shares {
 		s.hold(t)
-		if t.cell == nil {
-			s.lend(1)
-		}
 	}
 	p.pending = append(p.pending, t)
 	p.dropHead(t)
@@ -140,9 +131,6 @@
 func (p *policy) unhold(t *task) {
 	for _, s := range t.shares {
 		s.unhold(t)
-		if t.cell == nil {
-			s.lend(-1)
-		}
 	}
 	p.pending = without(p.pending, t)
 	p.free()
@@ -182,7 +170,11 @@
 		}
 		free = free && s.clear()
 	}
-	if free && t.cooled() {
+	if !t.cooled() {
+		p.clearCooling(t, grace)
+		free = false
+	}
+	if free {
 		p.start(t)
 		return
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -178,6 +178,7 @@
 	s.worker.heldAmount = s.worker.heldAmount.plus(s.amount)
 	s.worker.pending = append(s.worker.pending, t)
 	s.worker.count(1)
+	s.keep(1)
 }
 
 func (s share) unhold(t *task) {
@@ -185,6 +186,7 @@
 	s.worker.heldAmount = s.worker.heldAmount.minus(s.amount)
 	s.worker.pending = without(s.worker.pending, t)
 	s.worker.count(-1)
+	s.keep(-1)
 }
 
 // clear reports whether nothing runs any more where the share is.
