--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -25,11 +25,9 @@
 		tasks int
 	}
 
-	// offer is a place for a task within a cell. Where from is set the cell
-	// first exchanges its place with that of from.
+	// offer is a place for a task within a cell.
 	offer struct {
 		cell   *cell
-		from   *cell
 		seats  []int
 		shares []share
 		loss   int
@@ -205,3 +203,21 @@
 	}
 	return share{worker: w, mask: mask, amount: n.amount}, ok
 }
+
+func (c *cell) maskOn(w *worker) floor.Accelerators {
+	for i := range c.seats {
+		if c.seats[i].share.worker == w {
+			return c.seats[i].share.mask
+		}
+	}
+	return 0
+}
+
+func (c *cell) on(w *worker) amount {
+	for i := range c.seats {
+		if c.seats[i].share.worker == w {
+			return c.seats[i].share.amount
+		}
+	}
+	return amount{}
+}
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -40,10 +40,6 @@
 	if !ok || best.loss > 0 && p.recovering() {
 		return false
 	}
-	if best.from != nil {
-		exchange(best.cell, best.from)
-		best.from.tenant.dirty = true
-	}
 	p.enter(t, best.cell, best.seats, best.shares)
 	grace := p.config.Grace
 	if t.urgent {
@@ -66,7 +62,10 @@
 	if !ok || best.loss == 0 || spare == nil {
 		return best, ok
 	}
-	return p.swapped(t, spare, best), true
+	if p.relocate(spare, best.loss) {
+		best, _, ok = p.offers(t)
+	}
+	return best, ok
 }
 
 // offers returns the best place in the account's cells as they stand, and the
@@ -110,35 +109,69 @@
 	return true
 }
 
-// swapped returns an offer on the place of another account's cell of the same
-// shape, without tasks, if less is lost there.
-func (p *policy) swapped(t *task, own *cell, best offer) offer {
-	for _, c := range p.cells {
-		if best.loss == 0 {
-			return best
-		}
-		if c.shape != own.shape || len(c.tasks) > 0 || c.tenant == own.tenant || !c.whole() {
-			continue
-		}
-		o, ok := p.carve(t, c)
-		if ok && o.loss < best.loss {
-			best = o
-			best.cell, best.from = own, c
+// relocate binds a cell without tasks where less than the given loss is lost.
+// Other cells without tasks make room for it, if they can stand elsewhere.
+func (p *policy) relocate(c *cell, loss int) bool {
+	old := c.unbindAll()
+	q := c.query(bindPack)
+	q.view = viewFirm
+	shares := p.find(q)
+	if shares == nil || p.lossOf(shares) >= loss {
+		c.bindAll(old)
+		return false
+	}
+	displaced := p.displacedBy(shares)
+	olds := make([][]share, len(displaced))
+	for i, d := range displaced {
+		olds[i] = d.unbindAll()
+	}
+	c.bindAll(shares)
+	for _, d := range displaced {
+		found := p.find(d.query(bindPack))
+		if found == nil {
+			p.rollBack(c, old, displaced, olds)
+			return false
 		}
+		d.bindAll(found)
+	}
+	return true
+}
+
+func (p *policy) rollBack(c *cell, old []share, displaced []*cell, olds [][]share) {
+	c.unbindAll()
+	for _, d := range displaced {
+		d.unbindAll()
+	}
+	c.bindAll(old)
+	for i, d := range displaced {
+		d.bindAll(olds[i])
 	}
-	return best
 }
 
-// exchange swaps the places of two cells without tasks.
-func exchange(x, y *cell) {
-	for i := range x.seats {
-		x.seats[i].share, y.seats[i].share = y.seats[i].share, x.seats[i].share
-		x.seats[i].share.swapCell(y, x)
-		y.seats[i].share.swapCell(x, y)
+func (p *policy) lossOf(shares []share) int {
+	total := 0
+	for _, s := range shares {
+		total += p.loss(nil, s, true)
 	}
+	return total
 }
 
-func (s share) swapCell(from, to *cell) {
-	s.worker.cells = without(s.worker.cells, from)
-	s.worker.cells = append(s.worker.cells, to)
+// displacedBy returns the cells without tasks on whose place the shares are, the
+// largest first.
+func (p *policy) displacedBy(shares []share) []*cell {
+	var displaced []*cell
+	for _, s := range shares {
+		free := s.worker.capacity().minus(s.worker.boundAmount)
+		for _, c := range s.worker.cells {
+			if len(c.tasks) > 0 || slices.Contains(displaced, c) {
+				continue
+			}
+			if c.maskOn(s.worker)&s.mask != 0 || !s.amount.within(free) {
+				displaced = append(displaced, c)
+				free = free.plus(c.on(s.worker))
+			}
+		}
+	}
+	slices.SortStableFunc(displaced, packOrder)
+	return displaced
 }
--- a/internal/scheduler/cooling.go
+++ b/internal/scheduler/cooling.go
@@ -77,7 +77,7 @@
 			used += b.running + b.held
 		case viewReclaim:
 			used += b.held
-		case viewUnbound:
+		case viewUnbound, viewFirm:
 			used += b.aside
 		}
 		if used > b.limit {
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -73,7 +73,7 @@
 	used := w.busyAmount.plus(s.amount)
 	add := func(v *task) {
 		victims = append(victims, v)
-		total += p.price(v, firm)
+		total += p.price(t, v, firm)
 		used = used.minus(v.on(w))
 	}
 	for _, v := range w.tasks {
@@ -100,10 +100,14 @@
 	return victims, min(total, forbidden)
 }
 
-// price is what a task weighs for another: urgent work leaves for guarantees
-// only.
-func (p *policy) price(victim *task, firm bool) int {
-	if victim.urgent && !firm && victim.state != stateLeaving {
+// price is what a victim weighs for a task. Urgent work leaves for guarantees
+// only; for a job that waited long only smaller jobs leave, that can run again.
+func (p *policy) price(t, victim *task, firm bool) int {
+	switch {
+	case firm || victim.state == stateLeaving:
+	case victim.urgent:
+		return forbidden
+	case t != nil && !t.urgent && (!victim.Idempotent || victim.members() >= t.members()):
 		return forbidden
 	}
 	return p.weigh(victim)
@@ -118,7 +122,7 @@
 			if v == t || slices.Contains(except, v) {
 				continue
 			}
-			if price := p.price(v, firm); price < lowest {
+			if price := p.price(t, v, firm); price < lowest {
 				best, lowest = v, price
 			}
 		}
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -16,6 +16,9 @@
 
 	// viewReclaim sees what can be had by reclaiming borrowers.
 	viewReclaim
+
+	// viewFirm sees what no guarantee in use stands on.
+	viewFirm
 )
 
 type (
@@ -156,13 +159,13 @@
 
 // fit returns the place of one member on a worker, if it has one.
 func (p *policy) fit(q *query, w *worker) (candidate, bool) {
-	if !w.usable() || (w.probation && len(w.tasks)+len(w.pending) > 0 && q.view != viewUnbound) {
+	if !w.usable() || (w.probation && len(w.tasks)+len(w.pending) > 0 && !q.firm()) {
 		return candidate{}, false
 	}
 	if q.task != nil && q.task.avoids(p.now, w) {
 		return candidate{}, false
 	}
-	busy, used := q.occupied(w)
+	busy, used := p.occupied(q, w)
 	wanted := q.need.on(w)
 	if !used.plus(wanted).within(w.capacity()) {
 		return candidate{}, false
@@ -179,21 +182,47 @@
 	return c, c.cost < forbidden
 }
 
-// groupOn chooses the accelerators; a guarantee prefers those that are free.
+// groupOn chooses the accelerators: those that are free, or whose borrowers are
+// the least loss.
 func (p *policy) groupOn(q *query, w *worker, busy floor.Accelerators) (floor.Accelerators, int, bool) {
-	if q.view != viewFree {
-		if mask, excess, ok := group(busy|w.busy|w.held, w.Accelerators, q.need.accelerators); ok {
-			return mask, excess, true
+	if q.view == viewFree || q.need.accelerators == 0 {
+		return group(busy, w.Accelerators, q.need.accelerators)
+	}
+	mask, excess, ok := group(busy|w.busy|w.held, w.Accelerators, q.need.accelerators)
+	if ok || q.idle {
+		return mask, excess, ok
+	}
+	return p.leastGroup(q, w, busy)
+}
+
+// leastGroup returns the accelerators whose borrowers are the least loss.
+func (p *policy) leastGroup(q *query, w *worker, busy floor.Accelerators) (floor.Accelerators, int, bool) {
+	n := q.need.accelerators
+	size := 1 << order(n)
+	var best floor.Accelerators
+	lowestLoss := forbidden
+	for base := 0; base < w.Accelerators; base += size {
+		open := span(base, size) & w.all() &^ busy
+		if open.Count() < n {
+			continue
 		}
-		if q.idle {
-			return 0, 0, false
+		idle := open &^ (w.busy | w.held)
+		mask := lowest(idle, min(n, idle.Count()))
+		mask |= lowest(open&^mask, n-mask.Count())
+		if loss := p.loss(q.task, share{worker: w, mask: mask, amount: q.need.on(w)}, q.firm()); loss < lowestLoss {
+			best, lowestLoss = mask, loss
 		}
 	}
-	return group(busy, w.Accelerators, q.need.accelerators)
+	return best, 0, best != 0
+}
+
+// firm reports whether a guarantee asks.
+func (q *query) firm() bool {
+	return q.view == viewUnbound || q.view == viewFirm
 }
 
 // occupied returns what the query must leave alone on a worker.
-func (q *query) occupied(w *worker) (floor.Accelerators, amount) {
+func (p *policy) occupied(q *query, w *worker) (floor.Accelerators, amount) {
 	switch q.view {
 	case viewUnbound:
 		if q.idle {
@@ -201,7 +230,9 @@
 		}
 		return w.bound, w.boundAmount
 	case viewReclaim:
-		return w.firm()
+		return p.firmOn(q, w)
+	case viewFirm:
+		return w.inUse()
 	default:
 		busy, used := w.busy|w.held, w.busyAmount.plus(w.heldAmount)
 		if w.head != nil && w.head != q.head && !q.until.IsZero() && q.until.After(w.head.at) {
@@ -211,18 +242,26 @@
 	}
 }
 
-// firm returns what guaranteed and urgent jobs, and jobs to come, hold.
-func (w *worker) firm() (floor.Accelerators, amount) {
+// firmOn returns what cannot be reclaimed for the query's task.
+func (p *policy) firmOn(q *query, w *worker) (floor.Accelerators, amount) {
 	busy, used := w.held, w.heldAmount
 	for _, t := range w.tasks {
-		if t.reclaimable() {
-			continue
+		if p.price(q.task, t, false) >= forbidden {
+			busy |= t.maskOn(w)
+			used = used.plus(t.on(w))
 		}
-		for _, s := range t.shares {
-			if s.worker == w {
-				busy |= s.mask
-				used = used.plus(s.amount)
-			}
+	}
+	return busy, used
+}
+
+// inUse returns what the cells with tasks stand on.
+func (w *worker) inUse() (floor.Accelerators, amount) {
+	var busy floor.Accelerators
+	var used amount
+	for _, c := range w.cells {
+		if len(c.tasks) > 0 {
+			busy |= c.maskOn(w)
+			used = used.plus(c.on(w))
 		}
 	}
 	return busy, used
@@ -237,13 +276,16 @@
 	w := s.worker
 	cost := 0
 	if q.view != viewFree {
-		cost += p.loss(q.task, s, q.view == viewUnbound)
+		cost += p.loss(q.task, s, q.firm())
 	}
 	if q.need.accelerators == 0 {
 		return cost + w.spare()
 	}
 	cost += 2 * q.pack * excess
-	if q.view == viewUnbound {
+	if q.view == viewFirm && s.mask&w.bound != 0 {
+		cost += q.pack
+	}
+	if q.firm() {
 		return cost
 	}
 	if w.idle() {
