--- a/gate.go
+++ b/gate.go
@@ -10,6 +10,7 @@
 	"github.com/lovageroad/lovageroad/internal/caller"
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/loop"
+	"github.com/lovageroad/lovageroad/internal/operator"
 	"github.com/lovageroad/lovageroad/internal/peer"
 	"github.com/lovageroad/lovageroad/internal/platform"
 	"github.com/lovageroad/lovageroad/internal/prom"
@@ -39,6 +40,9 @@
 	callers := caller.New(func(ctx context.Context, event machine.Event) bool {
 		return run.Post(ctx, event)
 	}, store)
+	operators := operator.New(func(ctx context.Context, event machine.Event) bool {
+		return run.Post(ctx, event)
+	}, g.settings.Region, g.settings.Operators)
 	run = loop.New(self, gate.New(self, g.settings.Region, gate.WithGates(settings.Nodes(g.settings.Gates)...)),
 		loop.WithStore(store, store),
 		loop.WithSend(sender.Send),
@@ -47,10 +51,12 @@
 			metrics.Observe(effect)
 			prom.Log(effect)
 			callers.Handle(effect)
+			operators.Handle(effect)
 		}),
 	)
 	router := chi.NewRouter()
 	callers.Routes(router)
+	operators.Routes(router)
 	router.Handle("/metrics", metrics.Handler())
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	public, err := serve(g.settings.Listen, router)
--- a/internal/command/errors.go
+++ b/internal/command/errors.go
@@ -55,8 +55,11 @@
 		usage   *UsageError
 		key     *settings.KeyError
 		refused *RefusedError
+		problem *OperatorError
 	)
 	switch {
+	case errors.As(err, &problem):
+		return problem.exitCode()
 	case errors.As(err, &usage), errors.As(err, &key):
 		return ExitUsage
 	case errors.As(err, &refused) && refused.Problem.Ran == job.NotRun:
--- /dev/null
+++ b/internal/command/floor.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/lovageroad/lovageroad/internal/account"
+	"github.com/lovageroad/lovageroad/internal/floor"
+	"github.com/lovageroad/lovageroad/internal/operator"
+)
+
+const (
+	wholeRegion = "region"
+)
+
+// floorBody is what is set for the floor.
+type floorBody struct {
+	Budgets []account.Budget `json:"budgets"`
+}
+
+func newFloor() *cli.Command {
+	kind := account.KindFloor
+	return &cli.Command{
+		Name:  "floor",
+		Usage: "set the cooling budgets of racks, data centres and the region",
+		Commands: append([]*cli.Command{
+			subjectCommand(kind, "set", "set or remove budgets of cells and leave the others", changeFlags(
+				&cli.StringSliceFlag{Name: "budget", Usage: "budget as `CELL=WATTS`; a cell is region, a data centre, or a data centre, a slash and a rack"},
+				&cli.StringSliceFlag{Name: "remove", Usage: "`cell` that has no budget any more"},
+			), setFloor),
+		}, commonCommands(kind)...),
+	}
+}
+
+func setFloor(ctx context.Context, o operatorClient, s account.Subject) error {
+	budgets, remove := o.command.StringSlice("budget"), o.command.StringSlice("remove")
+	if len(budgets)+len(remove) == 0 {
+		return &UsageError{Reason: "floor set changes nothing: give --budget or --remove"}
+	}
+	var current operator.Body
+	var missing *OperatorError
+	err := o.call(ctx, http.MethodGet, subjectPath(s), 0, nil, &current)
+	if err != nil && (!errors.As(err, &missing) || missing.Problem.Status != http.StatusNotFound) {
+		return err
+	}
+	match := uint64(current.Revision)
+	if given := o.command.Uint64("if-match"); given != 0 {
+		match = given
+	}
+	body := floorBody{Budgets: current.Budgets}
+	for _, text := range budgets {
+		b, err := parseBudget(text)
+		if err != nil {
+			return err
+		}
+		body.drop(cellName(b))
+		body.Budgets = append(body.Budgets, b)
+	}
+	for _, cell := range remove {
+		if !body.drop(cell) {
+			return &UsageError{Reason: fmt.Sprintf("cell %q has no budget", cell)}
+		}
+	}
+	return o.change(ctx, http.MethodPut, s, "", match, body, nil)
+}
+
+// drop removes the budget of a cell and returns whether it had one.
+func (b *floorBody) drop(cell string) bool {
+	before := len(b.Budgets)
+	b.Budgets = slices.DeleteFunc(b.Budgets, func(each account.Budget) bool { return cellName(each) == cell })
+	return len(b.Budgets) < before
+}
+
+func parseBudget(text string) (account.Budget, error) {
+	cell, watts, _ := strings.Cut(text, "=")
+	value, err := strconv.ParseInt(watts, 10, 64)
+	if err != nil || cell == "" {
+		return account.Budget{}, &UsageError{Reason: fmt.Sprintf("budget %q is not of the form CELL=WATTS, such as dc-1/rack-2=9000", text)}
+	}
+	b := account.Budget{Cooling: floor.Watts(value)}
+	if cell == wholeRegion {
+		return b, nil
+	}
+	dataCentre, rack, _ := strings.Cut(cell, "/")
+	b.DataCentre = floor.DataCentreID(dataCentre)
+	b.Rack = floor.RackID(rack)
+	return b, nil
+}
+
+func cellName(b account.Budget) string {
+	switch {
+	case b.Rack != "":
+		return string(b.DataCentre) + "/" + string(b.Rack)
+	case b.DataCentre != "":
+		return string(b.DataCentre)
+	default:
+		return wholeRegion
+	}
+}
--- a/internal/gate/edit.go
+++ b/internal/gate/edit.go
@@ -280,11 +280,13 @@
 // answers.
 func (x *editor) accept(asked time.Time, e *edit) {
 	d := x.directory
+	before, _, _ := d.register.Get()
+	followers := before.Followers(before.With(e.change))
 	d.advance([]account.Change{e.change})
 	d.register.Confirm(asked, e.change.Revision)
 	d.gates.push(e.change)
 	current, _, _ := d.register.Get()
-	x.finish(e, Edited{Change: e.change, Directory: current})
+	x.finish(e, Edited{Change: e.change, Directory: current, Followers: followers})
 	d.spreadRevision(d.now)
 }
 
--- /dev/null
+++ b/internal/operator/write.go
@@ -0,0 +1,312 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/lovageroad/lovageroad/internal/account"
+	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/pkg/revision"
+)
+
+// put creates a subject, or replaces what is set for it.
+func (s *Server) put(w http.ResponseWriter, r *http.Request, subject account.Subject) {
+	definition, err := decodeDefinition(w, r, subject.Kind)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	s.write(w, r, subject, func(current account.Change) (account.Value, string, error) {
+		return s.replace(current, definition)
+	})
+}
+
+// patch changes some fields by a JSON merge patch of RFC 7396.
+func (s *Server) patch(w http.ResponseWriter, r *http.Request, subject account.Subject) {
+	patch, err := readBody(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	s.writeExisting(w, r, subject, func(current account.Change) (account.Value, string, error) {
+		definition, err := mergeDefinition(definitionOf(current.Value), patch, subject.Kind)
+		if err != nil {
+			return account.Value{}, "", err
+		}
+		return s.replace(current, definition)
+	})
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request, subject account.Subject) {
+	s.writeExisting(w, r, subject, func(account.Change) (account.Value, string, error) {
+		return account.Value{}, "", nil
+	})
+}
+
+// rollback makes a change that sets a subject to what it was at a revision. The
+// tokens of an account stay: one that was removed does not come back.
+func (s *Server) rollback(w http.ResponseWriter, r *http.Request, subject account.Subject) {
+	to, err := number(r, "to", 0)
+	if err == nil && to == 0 {
+		err = &RequestError{Status: http.StatusBadRequest, Field: "to", Reason: "the revision to roll back to is required"}
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	old, ok, err := s.change(r, subject, "to", revision.Number(to))
+	if !ok {
+		return
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if r.URL.Query().Get("text") == "" {
+		query := r.URL.Query()
+		query.Set("text", fmt.Sprintf("roll back to revision %d", to))
+		r.URL.RawQuery = query.Encode()
+	}
+	s.write(w, r, subject, func(current account.Change) (account.Value, string, error) {
+		value := old.Value
+		if value.Account != nil {
+			restored := *value.Account
+			restored.Tokens = nil
+			if a := current.Value.Account; a != nil {
+				restored.Tokens = a.Tokens
+			}
+			value.Account = &restored
+		}
+		return value, "", nil
+	})
+}
+
+// addToken adds a token to an account and shows it once. With rotate=true it
+// takes the place of all others.
+func (s *Server) addToken(w http.ResponseWriter, r *http.Request) {
+	rotate, err := flag(r, "rotate")
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	s.writeTokens(w, r, func(tokens []account.TokenHash) ([]account.TokenHash, string, error) {
+		token := rand.Text()
+		if rotate {
+			tokens = nil
+		}
+		return append(slices.Clone(tokens), account.HashToken(token)), token, nil
+	})
+}
+
+func (s *Server) removeToken(w http.ResponseWriter, r *http.Request) {
+	id := TokenID(chi.URLParam(r, "token"))
+	s.writeTokens(w, r, func(tokens []account.TokenHash) ([]account.TokenHash, string, error) {
+		left := slices.DeleteFunc(slices.Clone(tokens), func(t account.TokenHash) bool { return tokenID(t) == id })
+		if len(left) == len(tokens) {
+			return nil, "", &RequestError{Status: http.StatusNotFound, Field: "token", Reason: "the account has no such token"}
+		}
+		return left, "", nil
+	})
+}
+
+func (s *Server) writeTokens(w http.ResponseWriter, r *http.Request, edit func([]account.TokenHash) ([]account.TokenHash, string, error)) {
+	subject := account.Subject{Kind: account.KindAccount, Name: chi.URLParam(r, "name")}
+	s.writeExisting(w, r, subject, func(current account.Change) (account.Value, string, error) {
+		if current.Value.Account == nil {
+			return account.Value{}, "", &RequestError{Status: http.StatusNotFound, Field: "name", Reason: "there is no " + subject.String()}
+		}
+		changed := *current.Value.Account
+		tokens, token, err := edit(changed.Tokens)
+		changed.Tokens = tokens
+		return account.Value{Account: &changed}, token, err
+	})
+}
+
+// replace returns the value that a definition gives a subject. A new account
+// gets a token.
+func (s *Server) replace(current account.Change, d Definition) (account.Value, string, error) {
+	switch current.Subject.Kind {
+	case account.KindTemplate:
+		return account.Value{Template: &account.Template{Name: current.Subject.Name, Parameters: *d.Parameters}}, "", nil
+	case account.KindFloor:
+		return account.Value{Floor: &account.Floor{Budgets: d.Budgets}}, "", nil
+	}
+	a := &account.Account{
+		Name:       account.Name(current.Subject.Name),
+		Region:     s.region,
+		Template:   d.Template,
+		Parameters: account.DefaultParameters(),
+	}
+	if d.Overrides != nil {
+		a.Overrides = *d.Overrides
+	}
+	token := ""
+	if existing := current.Value.Account; existing != nil {
+		a.Tokens = existing.Tokens
+	} else {
+		token = rand.Text()
+		a.Tokens = []account.TokenHash{account.HashToken(token)}
+	}
+	return account.Value{Account: a}, token, nil
+}
+
+// valuer returns the value that a request gives a subject, and a new token.
+type valuer func(current account.Change) (account.Value, string, error)
+
+// writeExisting changes a subject that must exist.
+func (s *Server) writeExisting(w http.ResponseWriter, r *http.Request, subject account.Subject, value valuer) {
+	viewed, ok := s.view(r.Context())
+	if !ok {
+		return
+	}
+	if _, err := existing(viewed, subject); err != nil {
+		writeError(w, err)
+		return
+	}
+	if r.Header.Get("If-Match") == "" {
+		writeError(w, required())
+		return
+	}
+	s.write(w, r, subject, value)
+}
+
+// write changes a subject, if it is at the revision that the operator started
+// from, or else creates it.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, subject account.Subject, value valuer) {
+	match, matched, err := precondition(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	dryRun, err := flag(r, "dry-run")
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	current, ok, err := s.current(r.Context(), subject, match)
+	if !ok {
+		return
+	}
+	if err == nil && matched && current.Revision != match {
+		exists := !current.Value.Deleted()
+		writeRaced(w, gate.Edit{}, &gate.RacedError{Current: current, Exists: exists})
+		return
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	next, token, err := value(current)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	edit := gate.Edit{
+		ID:      changeID(r),
+		Author:  author(r),
+		Text:    r.URL.Query().Get("text"),
+		Subject: subject,
+		Value:   next,
+		Match:   match,
+		Create:  !matched,
+		DryRun:  dryRun,
+	}
+	edited, ok := ask[gate.Edited](r.Context(), s, func(id gate.RequestID) machine.Event {
+		edit.Request = id
+		return edit
+	})
+	if !ok {
+		return
+	}
+	respond(w, edit, edited, token)
+}
+
+// current returns the newest change of a subject. If the gate does not hold the
+// revision yet that the operator started from, it is given a moment to get it.
+func (s *Server) current(ctx context.Context, subject account.Subject, match revision.Number) (account.Change, bool, error) {
+	for wait := CatchUpTimeout; ; wait -= CatchUpInterval {
+		viewed, ok := s.view(ctx)
+		if !ok || viewed.Err != nil {
+			return account.Change{}, ok, viewed.Err
+		}
+		c, _ := viewed.Directory.Change(subject)
+		c.Subject = subject
+		if c.Revision >= match || wait <= 0 {
+			return c, true, nil
+		}
+		select {
+		case <-ctx.Done():
+			return account.Change{}, false, nil
+		case <-time.After(CatchUpInterval):
+		}
+	}
+}
+
+// respond writes the subject as the change has made it, or why it was not made.
+func respond(w http.ResponseWriter, edit gate.Edit, edited gate.Edited, token string) {
+	var raced *gate.RacedError
+	if errors.As(edited.Err, &raced) {
+		writeRaced(w, edit, raced)
+		return
+	}
+	if edited.Err != nil {
+		writeError(w, edited.Err)
+		return
+	}
+	body := bodyOf(edited.Change, edited.Directory)
+	body.DryRun = edit.DryRun
+	body.Followers = edited.Followers
+	body.Borrowed = edited.Borrowed
+	if edit.DryRun {
+		writeJSON(w, http.StatusOK, body)
+		return
+	}
+	if a := edited.Change.Value.Account; a != nil && token != "" && slices.Contains(a.Tokens, account.HashToken(token)) {
+		body.Token = token
+	}
+	setTag(w, edited.Change.Revision)
+	status := http.StatusOK
+	if edit.Create {
+		status = http.StatusCreated
+	}
+	writeJSON(w, status, body)
+}
+
+func writeRaced(w http.ResponseWriter, edit gate.Edit, raced *gate.RacedError) {
+	if !raced.Exists {
+		p := Problem{Status: http.StatusPreconditionFailed, Field: "If-Match", Detail: raced.Error()}
+		writeProblem(w, p)
+		return
+	}
+	body := bodyOf(raced.Current, nil)
+	setTag(w, raced.Current.Revision)
+	p := Problem{Status: http.StatusPreconditionFailed, Field: "If-Match", Detail: raced.Error(), Current: &body}
+	if edit.Create {
+		p.Status = http.StatusPreconditionRequired
+		p.Detail = raced.Error() + "; name it in If-Match to change it"
+	}
+	writeProblem(w, p)
+}
+
+func required() error {
+	return &RequestError{
+		Status: http.StatusPreconditionRequired,
+		Field:  "If-Match",
+		Reason: "the ETag of the version that you change is required",
+	}
+}
+
+func changeID(r *http.Request) account.ChangeID {
+	if id := r.Header.Get(ChangeHeader); id != "" && len(id) <= account.MaxName {
+		return account.ChangeID(id)
+	}
+	return account.ChangeID(rand.Text())
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,8 @@
 		Gates    []Address          `ini:"gates" help:"peer addresses of all gates of the region"`
 		Drain    time.Duration      `ini:"drain" default:"30s" help:"longest time of a graceful shutdown"`
 		Place    floor.DataCentreID `ini:"datacentre" help:"data centre of this VM"`
+
+		Operators Operators `ini:"operators" default:"none" help:"names of operators, each with a colon and the SHA-256 sum of its token"`
 	}
 
 	// Agent holds the settings of the process beside an upstream.
@@ -156,6 +158,8 @@
 			}
 			*target = append(*target, a)
 		}
+	case *Operators:
+		return target.parse(text)
 	case *URL:
 		parsed, err := url.Parse(text)
 		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
