Serve operators: templates, accounts and budgets over HTTP and by command

Operators' tokens are kept as hashes in the gate's settings, so that they work while the table is down and the author of a change is who the token names.

--- a/internal/command/floor.go
+++ b/internal/command/floor.go
@@ -46,7 +46,7 @@
 	}
 	var current operator.Body
 	var missing *OperatorError
-	err := o.call(ctx, http.MethodGet, subjectPath(s), 0, nil, &current)
+	err := o.call(ctx, http.MethodGet, subjectPath(s), operatorCall{}, &current)
 	if err != nil && (!errors.As(err, &missing) || missing.Problem.Status != http.StatusNotFound) {
 		return err
 	}
--- a/internal/command/operator.go
+++ b/internal/command/operator.go
@@ -33,8 +33,18 @@
 
 	// operatorClient makes an operator's requests to a gate.
 	operatorClient struct {
+		gate    string
+		token   string
 		command *cli.Command
 	}
+
+	// operatorCall is what a request says besides its method and path. Match is the
+	// revision that a change starts from, if it is not zero.
+	operatorCall struct {
+		id    account.ChangeID
+		match uint64
+		body  any
+	}
 )
 
 func (e *OperatorError) Error() string {
@@ -93,7 +103,7 @@
 		if form := c.String("output"); form != outputText && form != outputJSON {
 			return &UsageError{Reason: fmt.Sprintf("output %q is not text or json", form)}
 		}
-		return run(ctx, operatorClient{command: c}, given)
+		return run(ctx, operatorClient{gate: c.String("gate"), token: c.String("token"), command: c}, given)
 	}
 }
 
@@ -107,25 +117,25 @@
 
 // call makes a request and reads what is answered into the result. It returns an
 // OperatorError if the gate answers with a problem.
-func (o operatorClient) call(ctx context.Context, method, path string, match uint64, body, result any) error {
+func (o operatorClient) call(ctx context.Context, method, path string, c operatorCall, result any) error {
 	var data []byte
-	if body != nil {
-		encoded, err := json.Marshal(body)
+	if c.body != nil {
+		encoded, err := json.Marshal(c.body)
 		if err != nil {
 			return err
 		}
 		data = encoded
 	}
-	request, err := http.NewRequestWithContext(ctx, method, o.command.String("gate")+path, bytes.NewReader(data))
+	request, err := http.NewRequestWithContext(ctx, method, o.gate+path, bytes.NewReader(data))
 	if err != nil {
 		return &UsageError{Reason: err.Error()}
 	}
-	request.Header.Set("Authorization", "Bearer "+o.command.String("token"))
-	if match != 0 {
-		request.Header.Set("If-Match", strconv.Quote(strconv.FormatUint(match, 10)))
+	request.Header.Set("Authorization", "Bearer "+o.token)
+	if c.match != 0 {
+		request.Header.Set("If-Match", strconv.Quote(strconv.FormatUint(c.match, 10)))
 	}
-	if method != http.MethodGet {
-		request.Header.Set(operator.ChangeHeader, rand.Text())
+	if c.id != "" {
+		request.Header.Set(operator.ChangeHeader, string(c.id))
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
@@ -153,7 +163,7 @@
 		return given, nil
 	}
 	var current operator.Body
-	err := o.call(ctx, http.MethodGet, subjectPath(s), 0, nil, &current)
+	err := o.call(ctx, http.MethodGet, subjectPath(s), operatorCall{}, &current)
 	return uint64(current.Revision), err
 }
 
@@ -169,7 +179,8 @@
 		query.Set("dry-run", "true")
 	}
 	var changed operator.Body
-	if err := o.call(ctx, method, subjectPath(s)+suffix+"?"+query.Encode(), match, body, &changed); err != nil {
+	c := operatorCall{id: account.ChangeID(rand.Text()), match: match, body: body}
+	if err := o.call(ctx, method, subjectPath(s)+suffix+"?"+query.Encode(), c, &changed); err != nil {
 		return err
 	}
 	return o.print(changed, func(w io.Writer) { printBody(w, changed) })
--- a/internal/command/subject.go
+++ b/internal/command/subject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -61,7 +62,7 @@
 
 func getSubject(ctx context.Context, o operatorClient, s account.Subject) error {
 	var body operator.Body
-	if err := o.call(ctx, http.MethodGet, subjectPath(s), 0, nil, &body); err != nil {
+	if err := o.call(ctx, http.MethodGet, subjectPath(s), operatorCall{}, &body); err != nil {
 		return err
 	}
 	return o.print(body, func(w io.Writer) { printBody(w, body) })
@@ -73,13 +74,18 @@
 
 func rollBack(ctx context.Context, o operatorClient, s account.Subject) error {
 	query := url.Values{"to": {strconv.FormatUint(o.command.Uint64("to"), 10)}}
-	return o.changeExisting(ctx, http.MethodPost, s, "/rollback", nil, query)
+	match, err := o.match(ctx, s)
+	var missing *OperatorError
+	if err != nil && (!errors.As(err, &missing) || missing.Problem.Status != http.StatusNotFound) {
+		return err
+	}
+	return o.change(ctx, http.MethodPost, s, "/rollback", match, nil, query)
 }
 
 func printHistory(ctx context.Context, o operatorClient, s account.Subject) error {
 	var list operator.ListBody
 	path := fmt.Sprintf("%s/history?limit=%d", subjectPath(s), o.command.Int("limit"))
-	if err := o.call(ctx, http.MethodGet, path, 0, nil, &list); err != nil {
+	if err := o.call(ctx, http.MethodGet, path, operatorCall{}, &list); err != nil {
 		return err
 	}
 	return o.print(list, func(w io.Writer) { printChanges(w, list) })
@@ -93,7 +99,7 @@
 		}
 	}
 	var diff operator.DiffBody
-	if err := o.call(ctx, http.MethodGet, subjectPath(s)+"/diff?"+query.Encode(), 0, nil, &diff); err != nil {
+	if err := o.call(ctx, http.MethodGet, subjectPath(s)+"/diff?"+query.Encode(), operatorCall{}, &diff); err != nil {
 		return err
 	}
 	return o.print(diff, func(w io.Writer) { printFields(w, diff) })
@@ -107,7 +113,7 @@
 		Flags: operatorFlags(),
 		Action: operatorAction("", 0, func(ctx context.Context, o operatorClient, _ []string) error {
 			var list operator.ListBody
-			if err := o.call(ctx, http.MethodGet, "/v1/"+string(kind)+"s", 0, nil, &list); err != nil {
+			if err := o.call(ctx, http.MethodGet, "/v1/"+string(kind)+"s", operatorCall{}, &list); err != nil {
 				return err
 			}
 			return o.print(list, func(w io.Writer) { printList(w, list) })
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -103,7 +103,7 @@
 	l.jobs[record.ID] = e
 	l.policy.Restore(now, described(record), record.Placement)
 	if record.State == job.StateStarted {
-		e.attempt = newAttempt(now, record.Attempt, record.Placement, stepRunning)
+		e.attempt = newAttempt(record.Attempt, record.Epoch, record.Placement, stepRunning)
 	}
 }
 
@@ -156,6 +156,8 @@
 	switch m := message.Body.(type) {
 	case wire.Watch:
 		l.watched(message.From, m)
+	case wire.Inspect:
+		l.inspect(now, message.From, m)
 	case wire.Cancel:
 		l.cancel(now, message.From, m)
 	case wire.Holding:
--- a/internal/operator/body.go
+++ b/internal/operator/body.go
@@ -25,12 +25,13 @@
 
 	// Definition is what an operator sets for a subject. Parameters are those of
 	// a template, Template and Overrides those of an account, Budgets those of
-	// the floor.
+	// the floor. Hashes replace the tokens of an account.
 	Definition struct {
 		Template   string              `json:"template,omitempty"`
 		Overrides  *account.Overrides  `json:"overrides,omitempty"`
 		Parameters *account.Parameters `json:"parameters,omitempty"`
 		Budgets    []account.Budget    `json:"budgets,omitempty"`
+		Hashes     []account.TokenHash `json:"hashes,omitempty"`
 	}
 
 	// Body is a subject as operators see it. Token is a new token in plain, and
--- a/internal/operator/decode.go
+++ b/internal/operator/decode.go
@@ -57,7 +57,7 @@
 	}
 	known := map[account.Kind][]string{
 		account.KindTemplate: {"parameters"},
-		account.KindAccount:  {"template", "overrides"},
+		account.KindAccount:  {"template", "overrides", "hashes"},
 		account.KindFloor:    {"budgets"},
 	}
 	for _, field := range known[kind] {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,7 +7,6 @@
 	"crypto/subtle"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -15,6 +14,7 @@
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/internal/loop"
 	"github.com/lovageroad/lovageroad/internal/settings"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
@@ -42,17 +42,13 @@
 )
 
 type (
-	// Post hands an event to the gate's machine.
-	Post func(ctx context.Context, event machine.Event) bool
-
 	// Server serves operators.
 	Server struct {
-		post      Post
 		region    floor.RegionID
 		operators settings.Operators
-		mu        sync.Mutex
-		last      gate.RequestID
-		waiting   map[gate.RequestID]chan machine.Effect
+		edits     *loop.Exchange[gate.RequestID, gate.Edited]
+		views     *loop.Exchange[gate.RequestID, gate.Viewed]
+		recalls   *loop.Exchange[gate.RequestID, gate.Recalled]
 	}
 
 	authorKey struct{}
@@ -60,12 +56,13 @@
 
 // New returns a server for the operators of a region that hands requests to the
 // gate by post.
-func New(post Post, region floor.RegionID, operators settings.Operators) *Server {
+func New(post func(ctx context.Context, event machine.Event) bool, region floor.RegionID, operators settings.Operators) *Server {
 	return &Server{
-		post:      post,
 		region:    region,
 		operators: operators,
-		waiting:   make(map[gate.RequestID]chan machine.Effect),
+		edits:     loop.NewExchange[gate.RequestID, gate.Edited](post),
+		views:     loop.NewExchange[gate.RequestID, gate.Viewed](post),
+		recalls:   loop.NewExchange[gate.RequestID, gate.Recalled](post),
 	}
 }
 
@@ -133,47 +130,14 @@
 func (s *Server) Handle(effect machine.Effect) {
 	switch e := effect.(type) {
 	case gate.Edited:
-		s.answer(e.Request, e)
+		s.edits.Answer(e.Request, e)
 	case gate.Viewed:
-		s.answer(e.Request, e)
+		s.views.Answer(e.Request, e)
 	case gate.Recalled:
-		s.answer(e.Request, e)
-	}
-}
-
-func (s *Server) answer(id gate.RequestID, effect machine.Effect) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if waiting, ok := s.waiting[id]; ok {
-		delete(s.waiting, id)
-		waiting <- effect
-	}
-}
-
-// ask hands a request to the gate and waits for its answer. It returns false if
-// the operator has gone.
-func ask[T any](ctx context.Context, s *Server, event func(gate.RequestID) machine.Event) (T, bool) {
-	var none T
-	waiting := make(chan machine.Effect, 1)
-	s.mu.Lock()
-	s.last++
-	id := s.last
-	s.waiting[id] = waiting
-	s.mu.Unlock()
-	if s.post(ctx, event(id)) {
-		select {
-		case effect := <-waiting:
-			answer, ok := effect.(T)
-			return answer, ok
-		case <-ctx.Done():
-		}
+		s.recalls.Answer(e.Request, e)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.waiting, id)
-	return none, false
 }
 
 func (s *Server) view(ctx context.Context) (gate.Viewed, bool) {
-	return ask[gate.Viewed](ctx, s, func(id gate.RequestID) machine.Event { return gate.View{Request: id} })
+	return s.views.Ask(ctx, func(id gate.RequestID) machine.Event { return gate.View{Request: id} }, nil)
 }
--- a/internal/operator/read.go
+++ b/internal/operator/read.go
@@ -107,9 +107,9 @@
 }
 
 func (s *Server) recall(r *http.Request, subject account.Subject, at revision.Number, limit int) (gate.Recalled, bool) {
-	return ask[gate.Recalled](r.Context(), s, func(id gate.RequestID) machine.Event {
+	return s.recalls.Ask(r.Context(), func(id gate.RequestID) machine.Event {
 		return gate.Recall{Request: id, Subject: subject, At: at, Limit: limit}
-	})
+	}, nil)
 }
 
 // change returns the change of a subject that made a revision; with zero, the
--- a/internal/operator/write.go
+++ b/internal/operator/write.go
@@ -131,7 +131,7 @@
 }
 
 // replace returns the value that a definition gives a subject. A new account
-// gets a token.
+// gets a token, unless hashes of its tokens are given.
 func (s *Server) replace(current account.Change, d Definition) (account.Value, string, error) {
 	switch current.Subject.Kind {
 	case account.KindTemplate:
@@ -149,9 +149,12 @@
 		a.Overrides = *d.Overrides
 	}
 	token := ""
-	if existing := current.Value.Account; existing != nil {
+	switch existing := current.Value.Account; {
+	case len(d.Hashes) > 0:
+		a.Tokens = d.Hashes
+	case existing != nil:
 		a.Tokens = existing.Tokens
-	} else {
+	default:
 		token = rand.Text()
 		a.Tokens = []account.TokenHash{account.HashToken(token)}
 	}
@@ -219,10 +222,10 @@
 		Create:  !matched,
 		DryRun:  dryRun,
 	}
-	edited, ok := ask[gate.Edited](r.Context(), s, func(id gate.RequestID) machine.Event {
+	edited, ok := s.edits.Ask(r.Context(), func(id gate.RequestID) machine.Event {
 		edit.Request = id
 		return edit
-	})
+	}, nil)
 	if !ok {
 		return
 	}
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -8,11 +8,6 @@
 	"github.com/lovageroad/lovageroad/internal/account"
 )
 
-const (
-	// NoOperators is the setting of a gate that serves no operators.
-	NoOperators = "none"
-)
-
 type (
 	// Operator is a person or program that may change settings, and the hash of
 	// its token.
@@ -28,9 +23,6 @@
 
 // String returns the operators as they stand in a file.
 func (o Operators) String() string {
-	if len(o) == 0 {
-		return NoOperators
-	}
 	parts := make([]string, 0, len(o))
 	for _, each := range o {
 		parts = append(parts, each.Name+":"+string(each.Hash))
@@ -39,9 +31,6 @@
 }
 
 func (o *Operators) parse(text string) error {
-	if text == NoOperators {
-		return nil
-	}
 	for _, part := range strings.Split(text, ",") {
 		name, hash, _ := strings.Cut(strings.TrimSpace(part), ":")
 		sum, err := hex.DecodeString(hash)
