Give each test process a loopback address of its own

TestKeyReuse failed once (not in 1m0s: a job runs): another process had taken a gate's port between its choice and its use, as packages are tested side by side.

--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -185,9 +185,12 @@
 	return total
 }
 
+// free returns an address on which nothing listens. Each test process has a
+// loopback address of its own, so that no other process takes the port between
+// now and its use.
 func free(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()>>8%250, os.Getpid()%256))
 	if err != nil {
 		t.Fatal(err)
 	}
