Stop broken gangs without the leader, learn outcomes, adopt tasks

Agents beat in rings (pkg/gang): a gang whose member is lost stops within 15 s with or without leader and store. A halted task holds no share, and whoever leads is told (Halted) until it orders the stop.

A reservation, result or halted task that hears nothing asks the table and its peers, at 5 s and then twice as long each time up to 60 s, spread over agents. An hour's outage costs at most 130 reads and 130 resends for each such task (before: 3,600 resends of a result).

An agent lists its runner's tasks before it announces and adopts them. A new incarnation is fenced anew instead of being given up at once; what it no longer holds is lost then.

Stop passes grace and checkpoint to the runner. A runner that does not answer is given up after grace + 2 s + the task's lease (15 s in gangs, else 60 s) + 5 s: by then its own lease has stopped the task, so the share may be given away. Before, the wait was without bound, and a start on its way could run after the stop.

--- a/agent.go
+++ b/agent.go
@@ -65,7 +65,7 @@
 	}
 	defer private.Close()
 	go run.Run(inner)
-	run.Post(inner, agent.Start{})
+	go begin(inner, driver, post)
 	klog.InfoS("agent serves", "peer", a.settings.Peer, "worker", a.settings.Worker)
 	<-ctx.Done()
 	run.Post(inner, agent.Leave{})
@@ -79,6 +79,16 @@
 	return nil
 }
 
+// begin starts the agent with the tasks that its runner has.
+func begin(ctx context.Context, driver *upstream.Driver, post poster) {
+	tasks, err := driver.Tasks(ctx)
+	if err != nil {
+		return
+	}
+	post(ctx, agent.Start{Tasks: tasks})
+	driver.Watch()
+}
+
 func (a *agentRole) worker() floor.Worker {
 	return floor.Worker{
 		ID:           a.settings.Worker,
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -7,19 +7,24 @@
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/floor"
-	"github.com/lovageroad/lovageroad/internal/job"
 	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/gang"
 	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
 const (
-	// DefaultHeartbeat is the time between two announcements.
+	// DefaultHeartbeat is the time between two announcements, unless the leader
+	// sets another.
 	DefaultHeartbeat = 2 * time.Second
 
 	// DefaultResend is the time after which an unanswered result is sent again.
+	// It doubles with each time.
 	DefaultResend = time.Second
 
+	// MaxResend bounds the time after which an unanswered result is sent again.
+	MaxResend = 30 * time.Second
+
 	// DefaultLeaderTimeout is the silence after which an agent looks for the
 	// leader at the other gates.
 	DefaultLeaderTimeout = 5 * time.Second
@@ -27,6 +32,17 @@
 	// DefaultRemember is how long an agent remembers a task that was stopped, so
 	// that a late order cannot start it.
 	DefaultRemember = 15 * time.Minute
+
+	// DefaultInquiry is the silence after which an agent asks the table and its
+	// peers what became of a task. It doubles with each time.
+	DefaultInquiry = 5 * time.Second
+
+	// MaxInquiry bounds the time between two inquiries for a task.
+	MaxInquiry = time.Minute
+
+	// DefaultLeaveGrace is the time after a Leave in which what was reserved
+	// before may still start.
+	DefaultLeaveGrace = 3 * time.Second
 )
 
 type (
@@ -39,76 +55,34 @@
 		Resend        time.Duration
 		LeaderTimeout time.Duration
 		Remember      time.Duration
+		Inquiry       time.Duration
+		LeaveGrace    time.Duration
+		Gang          []gang.Option
 	}
 
 	// Option sets a field of a Config.
 	Option func(*Config)
 
-	// Start is an event: the process is up.
-	Start struct{}
-
-	// Leave is an event: the upstream or the agent is to shut down. Running
-	// tasks end, no new ones start.
-	Leave struct{}
-
-	// TaskEnded is an event: the runner has a result of a task.
-	TaskEnded struct {
-		Task   wire.TaskID
-		Result wire.Result
-	}
-
-	// TaskStopped is an event: the runner stopped a task on request.
-	TaskStopped struct {
-		Task wire.TaskID
-	}
-
-	// RunTask is an effect: the runner is to start a task.
-	RunTask struct {
-		Task  wire.TaskID
-		Share floor.Share
-		Spec  job.Spec
-	}
-
-	// StopTask is an effect: the runner is to stop a task.
-	StopTask struct {
-		Task       wire.TaskID
-		Checkpoint bool
-	}
-
-	// Left is an effect: no task remains after a Leave, and the process may end.
-	Left struct{}
-
 	// Agent is the state machine of an agent.
 	Agent struct {
 		config   Config
 		store    *machine.Store
+		started  bool
 		epoch    lease.Epoch
 		leader   machine.Node
 		heard    time.Time
 		revision wire.Revision
 		gate     int
 		announce time.Time
+		draw     floor.Watts
 		tasks    map[wire.TaskID]*task
 		stopped  map[wire.TaskID]tombstone
 		leaving  bool
+		leave    time.Time
 		left     bool
+		beats    map[machine.Node][]wire.Pulse
 		effects  []machine.Effect
 	}
-
-	task struct {
-		id     wire.TaskID
-		share  floor.Share
-		spec   job.Spec
-		phase  wire.Phase
-		result *wire.Result
-		resend time.Time
-		stop   bool
-	}
-
-	tombstone struct {
-		at  time.Time
-		ran bool
-	}
 )
 
 // WithHeartbeat sets the time between two announcements.
@@ -121,6 +95,11 @@
 	return func(c *Config) { c.Incarnation = incarnation }
 }
 
+// WithGang sets the times of the rings in which gangs watch their members.
+func WithGang(options ...gang.Option) Option {
+	return func(c *Config) { c.Gang = options }
+}
+
 // New returns an agent for a worker that finds its leader through the gates.
 func New(worker floor.Worker, gates []machine.Node, options ...Option) *Agent {
 	config := Config{
@@ -130,6 +109,8 @@
 		Resend:        DefaultResend,
 		LeaderTimeout: DefaultLeaderTimeout,
 		Remember:      DefaultRemember,
+		Inquiry:       DefaultInquiry,
+		LeaveGrace:    DefaultLeaveGrace,
 	}
 	for _, option := range options {
 		option(&config)
@@ -139,30 +120,52 @@
 		store:   machine.NewStore(),
 		tasks:   make(map[wire.TaskID]*task),
 		stopped: make(map[wire.TaskID]tombstone),
+		beats:   make(map[machine.Node][]wire.Pulse),
 	}
 }
 
-// Step applies one event.
+// Step applies one event. All but Leave is ignored before Start.
 func (a *Agent) Step(now time.Time, event machine.Event) []machine.Effect {
 	a.effects = nil
+	if a.started {
+		a.apply(now, event)
+	} else {
+		a.prepare(now, event)
+	}
+	a.checkLeft()
+	a.sendBeats()
+	return append(a.effects, a.store.Take()...)
+}
+
+func (a *Agent) prepare(now time.Time, event machine.Event) {
 	switch e := event.(type) {
-	case Start, machine.Tick:
+	case Start:
+		a.started = true
+		a.adopt(now, e.Tasks)
 		a.tick(now)
 	case Leave:
-		a.leaving = true
-		a.announce = now
+		a.beginLeave(now)
+	}
+}
+
+func (a *Agent) apply(now time.Time, event machine.Event) {
+	switch e := event.(type) {
+	case machine.Tick:
 		a.tick(now)
+	case Leave:
+		a.beginLeave(now)
+		a.tick(now)
+	case Usage:
+		a.usage(now, e)
 	case TaskEnded:
 		a.taskEnded(now, e)
 	case TaskStopped:
-		a.taskStopped(now, e.Task)
+		a.taskStopped(now, e)
 	case machine.Stored:
 		a.store.Resolve(e)
 	case machine.Message:
 		a.receive(now, e)
 	}
-	a.checkLeft()
-	return append(a.effects, a.store.Take()...)
 }
 
 func (a *Agent) emit(effect machine.Effect) {
@@ -170,7 +173,9 @@
 }
 
 func (a *Agent) send(to machine.Node, body any) {
-	a.emit(machine.Send{To: to, Body: body})
+	if to != "" {
+		a.emit(machine.Send{To: to, Body: body})
+	}
 }
 
 func (a *Agent) tick(now time.Time) {
@@ -178,10 +183,9 @@
 		a.sendAnnounce(now)
 	}
 	for _, t := range sorted(a.tasks) {
-		if t.phase == wire.PhaseEnded && !now.Before(t.resend) {
-			a.sendEnded(now, t)
-		}
+		a.tickTask(now, t)
 	}
+	a.inquire(now)
 	for id, stone := range a.stopped {
 		if now.Sub(stone.at) > a.config.Remember {
 			delete(a.stopped, id)
@@ -190,6 +194,21 @@
 	a.emit(machine.Wake{At: now.Add(min(a.config.Heartbeat, a.config.Resend))})
 }
 
+func (a *Agent) tickTask(now time.Time, t *task) {
+	if t.member != nil {
+		a.carry(now, t, t.member.Tick(now))
+	}
+	switch {
+	case now.Before(t.resend):
+	case t.phase == wire.PhaseEnded:
+		a.sendEnded(now, t)
+	case t.phase == wire.PhaseStopped:
+		a.sendHalted(now, t)
+	case t.phase == wire.PhaseReserved && a.closed(now):
+		a.withdraw(now, t, "the upstream is leaving")
+	}
+}
+
 // sendAnnounce tells the leader that the agent is there. An agent that has not
 // heard from a leader asks one gate after the other.
 func (a *Agent) sendAnnounce(now time.Time) {
@@ -209,12 +228,6 @@
 		Epoch:       a.epoch,
 		Revision:    a.revision,
 		Leaving:     a.leaving,
-	}
-}
-
-func (a *Agent) checkLeft() {
-	if a.leaving && !a.left && len(a.tasks) == 0 {
-		a.left = true
-		a.emit(Left{})
+		Draw:        a.draw,
 	}
 }
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -30,6 +30,12 @@
 		if a.obeys(now, message.From, m.Order) {
 			a.settled(now, m)
 		}
+	case wire.Throttle:
+		if a.obeys(now, message.From, m.Order) {
+			a.throttle(m)
+		}
+	case wire.Beat:
+		a.beat(now, message.From, m)
 	}
 }
 
@@ -85,31 +91,33 @@
 	return true
 }
 
-func (a *Agent) reserve(_ time.Time, m wire.Reserve) {
+func (a *Agent) reserve(now time.Time, m wire.Reserve) {
 	reply := wire.Reserved{Epoch: a.epoch, Task: m.Task}
-	_, gone := a.stopped[m.Task]
-	_, known := a.tasks[m.Task]
+	known, ok := a.tasks[m.Task]
 	switch {
-	case known:
-	case gone:
+	case ok:
+		a.heardOf(now, known)
+	case a.buried(m.Task):
 		reply.Reason = "the task was stopped"
 	case a.leaving:
 		reply.Reason = "the upstream is leaving"
 	case !a.fits(m.Share):
 		reply.Reason = "the share is not free"
 	default:
-		a.tasks[m.Task] = &task{id: m.Task, share: m.Share, spec: m.Spec, phase: wire.PhaseReserved}
+		t := a.newTask(now, m.Task, m.Share, m.Peers)
+		t.spec = m.Spec
 	}
 	a.send(a.leader, reply)
 }
 
-// fits reports whether a share is free. Shares of ended tasks are free.
+// fits reports whether a share is free. Shares of tasks that do not run any more
+// are free.
 func (a *Agent) fits(share floor.Share) bool {
 	worker := a.config.Worker
 	slots, cores, memory := 1, share.Cores, share.Memory
 	busy := floor.Accelerators(0)
 	for _, t := range a.tasks {
-		if t.phase == wire.PhaseEnded {
+		if t.phase == wire.PhaseEnded || t.phase == wire.PhaseStopped {
 			continue
 		}
 		slots++
@@ -122,16 +130,23 @@
 		slots <= worker.Slots && cores <= worker.Cores && memory <= worker.Memory
 }
 
-func (a *Agent) run(_ time.Time, m wire.Run) {
+// run starts a task that is reserved. The leader is told of a task that cannot
+// run.
+func (a *Agent) run(now time.Time, m wire.Run) {
 	t, ok := a.tasks[m.Task]
 	if !ok {
+		stone := a.stopped[m.Task]
+		a.send(a.leader, wire.Halted{Epoch: a.epoch, Task: m.Task, Ran: stone.ran, Reason: "the task is not held"})
 		return
 	}
-	if t.phase == wire.PhaseReserved {
-		t.phase = wire.PhaseRunning
-		a.emit(RunTask{Task: t.id, Share: t.share, Spec: t.spec})
+	a.heardOf(now, t)
+	a.begin(now, t)
+	switch {
+	case t.phase == wire.PhaseStopped:
+		a.sendHalted(now, t)
+	case t.phase != wire.PhaseReserved:
+		a.send(a.leader, wire.Running{Epoch: a.epoch, Task: t.id})
 	}
-	a.send(a.leader, wire.Running{Epoch: a.epoch, Task: t.id})
 }
 
 func (a *Agent) stop(now time.Time, m wire.Stop) {
@@ -144,23 +159,23 @@
 		a.send(a.leader, wire.Stopped{Epoch: a.epoch, Task: m.Task, Ran: stone.ran})
 		return
 	}
-	switch t.phase {
-	case wire.PhaseRunning:
-		t.stop = true
-		a.emit(StopTask{Task: t.id, Checkpoint: m.Checkpoint})
-	default:
-		a.forget(now, t)
-		a.send(a.leader, wire.Stopped{Epoch: a.epoch, Task: m.Task, Ran: t.phase == wire.PhaseEnded})
+	if t.phase == wire.PhaseRunning {
+		t.ordered = true
+		a.stopRunner(t, m.Checkpoint, m.Grace)
+		return
 	}
+	a.forget(now, t)
+	a.send(a.leader, wire.Stopped{Epoch: a.epoch, Task: m.Task, Ran: t.phase != wire.PhaseReserved})
 }
 
-func (a *Agent) settled(now time.Time, m wire.Settled) {
-	if t, ok := a.tasks[m.Task]; ok && t.phase == wire.PhaseEnded {
-		a.forget(now, t)
+func (a *Agent) throttle(m wire.Throttle) {
+	if t, ok := a.tasks[m.Task]; ok && t.phase == wire.PhaseRunning {
+		a.emit(ThrottleTask{Task: m.Task, Slow: m.Slow})
 	}
 }
 
-func (a *Agent) forget(now time.Time, t *task) {
-	delete(a.tasks, t.id)
-	a.stopped[t.id] = tombstone{at: now, ran: t.phase != wire.PhaseReserved}
+func (a *Agent) settled(now time.Time, m wire.Settled) {
+	if t, ok := a.tasks[m.Task]; ok && (t.phase == wire.PhaseEnded || t.phase == wire.PhaseStopped) {
+		a.forget(now, t)
+	}
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -271,9 +271,9 @@
 }
 
 func liveKey(region floor.RegionID, id job.ID) table.Key {
-	return table.Key("live/" + string(region) + "/" + string(id))
+	return job.LiveKey(region, id)
 }
 
 func doneKey(region floor.RegionID, id job.ID) table.Key {
-	return table.Key("done/" + string(region) + "/" + string(id))
+	return job.DoneKey(region, id)
 }
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -170,6 +170,8 @@
 		l.stopped(now, message.From, m)
 	case wire.Ended:
 		l.memberEnded(now, message.From, m)
+	case wire.Halted:
+		l.halted(now, message.From, m)
 	}
 }
 
--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -10,10 +10,13 @@
 // announced takes note that an agent is there, and fences one that is new.
 func (l *leader) announced(now time.Time, from machine.Node, m wire.Announce) {
 	u, ok := l.workers[m.Worker.ID]
-	if ok && (u.node != from || u.incarnation != m.Incarnation) {
+	if ok && u.node != from {
 		l.lose(now, u)
 		ok = false
 	}
+	if ok && u.incarnation != m.Incarnation {
+		l.restarted(u, m.Incarnation)
+	}
 	if !ok {
 		u = &upstream{node: from, worker: m.Worker, incarnation: m.Incarnation}
 		l.workers[m.Worker.ID] = u
@@ -30,6 +33,15 @@
 	}
 }
 
+// restarted fences an agent anew that has begun another life. Which tasks its
+// runner still has is known once it answers.
+func (l *leader) restarted(u *upstream, incarnation wire.Incarnation) {
+	u.incarnation = incarnation
+	u.fenced = false
+	u.leaving = false
+	l.policy.DrainWorker(u.worker.ID)
+}
+
 // holding takes over what a fenced agent holds.
 func (l *leader) holding(now time.Time, from machine.Node, m wire.Holding) {
 	u, ok := l.workers[m.Worker.ID]
@@ -77,8 +89,9 @@
 	case member == nil && t.Phase == wire.PhaseEnded:
 		l.settleStray(u.node, wire.Ended{Task: t.Task})
 	case member == nil:
-		order := wire.Order{Epoch: l.epoch, Revision: l.gate.directory.revision(), Incarnation: u.incarnation}
-		l.gate.send(u.node, wire.Stop{Order: order, Task: t.Task})
+		l.stopStray(u.node, t.Task)
+	case t.Phase == wire.PhaseStopped:
+		l.halted(now, u.node, wire.Halted{Epoch: l.epoch, Task: t.Task, Ran: true, Reason: "a member was halted"})
 	case t.Phase == wire.PhaseEnded:
 		l.memberEnded(now, u.node, wire.Ended{Epoch: l.epoch, Task: t.Task, Result: *t.Result})
 	case t.Phase == wire.PhaseRunning:
--- a/internal/upstream/driver.go
+++ b/internal/upstream/driver.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/agent"
+	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
 	"github.com/lovageroad/lovageroad/internal/wire"
 	"github.com/lovageroad/lovageroad/pkg/machine"
@@ -20,29 +21,78 @@
 	DefaultRetry = 500 * time.Millisecond
 
 	// DefaultGiveUp is the time after which a task whose runner does not answer
-	// has failed.
+	// is stopped.
 	DefaultGiveUp = 30 * time.Second
+
+	// CallTimeout bounds a call to the runner, beyond the wait or the grace that
+	// it asks for.
+	CallTimeout = 2 * time.Second
+
+	// LeaseMargin is the time beyond its lease after which a task is taken for
+	// stopped though its runner has not said so. It covers the delay of the last
+	// call.
+	LeaseMargin = 5 * time.Second
+
+	// UsageInterval is the time between two reports of usage.
+	UsageInterval = time.Second
 )
 
-// Driver carries the effects of an agent out on its runner.
-type Driver struct {
-	client  *Client
-	objects table.Objects
-	post    func(ctx context.Context, event machine.Event) bool
-	ctx     context.Context
-	mu      sync.Mutex
-	cancels map[wire.TaskID]context.CancelFunc
-}
+type (
+	// Driver carries the effects of an agent out on its runner.
+	Driver struct {
+		client   *Client
+		objects  table.Objects
+		post     func(ctx context.Context, event machine.Event) bool
+		ctx      context.Context
+		mu       sync.Mutex
+		followed map[wire.TaskID]*followed
+	}
+
+	// followed is a task whose result is waited for.
+	followed struct {
+		cancel context.CancelFunc
+		lease  time.Duration
+		slow   bool
+	}
+)
 
 // NewDriver returns a driver that hands events to the agent by post. It ends
 // with the context.
 func NewDriver(ctx context.Context, client *Client, objects table.Objects, post func(ctx context.Context, event machine.Event) bool) *Driver {
 	return &Driver{
-		client:  client,
-		objects: objects,
-		post:    post,
-		ctx:     ctx,
-		cancels: make(map[wire.TaskID]context.CancelFunc),
+		client:   client,
+		objects:  objects,
+		post:     post,
+		ctx:      ctx,
+		followed: make(map[wire.TaskID]*followed),
+	}
+}
+
+// Tasks returns the tasks that the runner has, as soon as it answers. It returns
+// an error if the context ends first.
+func (d *Driver) Tasks(ctx context.Context) ([]agent.RunnerTask, error) {
+	for {
+		list, err := d.list(ctx)
+		if err == nil {
+			return runnerTasks(list), nil
+		}
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		pause(ctx, DefaultRetry)
+	}
+}
+
+// Watch reports the worker's usage to the agent until the context ends.
+func (d *Driver) Watch() {
+	var last Usage
+	for d.ctx.Err() == nil {
+		usage, err := d.usage()
+		if err == nil && usage != last {
+			last = usage
+			d.post(d.ctx, agent.Usage{Draw: usage.Draw, Leaving: usage.Leaving})
+		}
+		pause(d.ctx, UsageInterval)
 	}
 }
 
@@ -50,70 +100,80 @@
 func (d *Driver) Handle(effect machine.Effect) {
 	switch e := effect.(type) {
 	case agent.RunTask:
-		ctx, cancel := context.WithCancel(d.ctx)
-		d.mu.Lock()
-		d.cancels[e.Task] = cancel
-		d.mu.Unlock()
-		go d.run(ctx, e)
+		d.follow(e.Task, e.Peers, func(ctx context.Context) (Report, error) {
+			return d.client.Start(ctx, Name(e.Task), taskOf(e))
+		})
+	case agent.FollowTask:
+		d.follow(e.Task, e.Peers, nil)
 	case agent.StopTask:
 		go d.stop(e)
+	case agent.ThrottleTask:
+		go d.throttle(e)
+	case agent.ForgetTask:
+		go d.forget(e.Task)
 	}
 }
 
-func (d *Driver) run(ctx context.Context, e agent.RunTask) {
-	result, err := d.follow(ctx, e)
+// follow starts a task, unless start is nil, and waits for its result.
+func (d *Driver) follow(id wire.TaskID, peers []machine.Node, start func(context.Context) (Report, error)) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	f := &followed{cancel: cancel, lease: leaseOf(peers)}
 	d.mu.Lock()
-	delete(d.cancels, e.Task)
+	d.followed[id] = f
 	d.mu.Unlock()
-	if err != nil {
-		return
-	}
-	d.post(d.ctx, agent.TaskEnded{Task: e.Task, Result: result})
+	go func() {
+		defer cancel()
+		event := d.await(ctx, id, f.lease, start)
+		d.mu.Lock()
+		delete(d.followed, id)
+		d.mu.Unlock()
+		if event != nil {
+			d.post(d.ctx, event)
+		}
+	}()
 }
 
-// follow starts a task and waits for its result. It returns an error if the task
-// is to be stopped.
-func (d *Driver) follow(ctx context.Context, e agent.RunTask) (wire.Result, error) {
-	name := Name(e.Task)
-	task := Task{
-		Job:          e.Task.Job,
-		Attempt:      e.Task.Attempt,
-		Rank:         e.Task.Rank,
-		Class:        string(e.Spec.Class),
-		Accelerators: e.Share.Accelerators,
-		Cores:        e.Share.Cores,
-		Memory:       e.Share.Memory,
-		Input:        e.Spec.Input,
-		Object:       e.Spec.Object,
-		Lease:        DefaultLease.Seconds(),
-	}
-	begun := false
-	silent := time.Now()
+// await returns the event of a task's end, or nil if the context ends first.
+func (d *Driver) await(ctx context.Context, id wire.TaskID, lease time.Duration, start func(context.Context) (Report, error)) machine.Event {
+	answered := time.Now()
 	for {
-		var report Report
-		var err error
-		if !begun {
-			err = d.client.Start(ctx, name, task)
-			begun = err == nil
-			report.State = StateRunning
-		} else {
-			report, err = d.client.Wait(ctx, name)
-		}
+		report, err := d.poll(ctx, id, lease, start)
 		switch {
 		case ctx.Err() != nil:
-			return wire.Result{}, ctx.Err()
-		case err != nil && (refused(err) || time.Since(silent) > DefaultGiveUp):
-			return wire.Result{Failed: true, Reason: err.Error()}, nil
+			return nil
+		case refused(err):
+			return agent.TaskEnded{Task: id, Result: wire.Result{Failed: true, Reason: err.Error()}}
+		case err != nil && time.Since(answered) > DefaultGiveUp:
+			d.force(id, lease)
+			return agent.TaskEnded{Task: id, Result: wire.Result{Failed: true, Reason: err.Error()}}
 		case err != nil:
 			pause(ctx, DefaultRetry)
-		case report.State == StateRunning:
-			silent = time.Now()
+			continue
+		}
+		answered, start = time.Now(), nil
+		switch report.State {
+		case StateRunning:
+		case StateStopped:
+			return agent.TaskStopped{Task: id, Reason: report.Reason}
 		default:
-			return d.result(ctx, name, report), nil
+			return agent.TaskEnded{Task: id, Result: d.result(ctx, Name(id), report)}
 		}
 	}
 }
 
+// poll makes one call that renews the task's lease.
+func (d *Driver) poll(ctx context.Context, id wire.TaskID, lease time.Duration, start func(context.Context) (Report, error)) (Report, error) {
+	if start != nil {
+		ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+		defer cancel()
+		return start(ctx)
+	}
+	wait := lease / pollsPerLease
+	ctx, cancel := context.WithTimeout(ctx, wait+CallTimeout)
+	defer cancel()
+	return d.client.Wait(ctx, Name(id), wait)
+}
+
 // result keeps an answer: a small one inline, a large one in the object store,
 // or inline if the object store is away.
 func (d *Driver) result(ctx context.Context, name string, report Report) wire.Result {
@@ -135,22 +195,51 @@
 	return wire.Result{Answer: answer}
 }
 
-// stop stops a task at the runner and then reports it stopped.
-func (d *Driver) stop(e agent.StopTask) {
-	d.mu.Lock()
-	cancel, ok := d.cancels[e.Task]
-	d.mu.Unlock()
-	if ok {
-		cancel()
+func (d *Driver) list(ctx context.Context) ([]Task, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	return d.client.List(ctx)
+}
+
+func (d *Driver) usage() (Usage, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, CallTimeout)
+	defer cancel()
+	return d.client.Usage(ctx)
+}
+
+func taskOf(e agent.RunTask) Task {
+	return Task{
+		Job:          e.Task.Job,
+		Attempt:      e.Task.Attempt,
+		Epoch:        e.Task.Epoch,
+		Rank:         e.Task.Rank,
+		Peers:        e.Peers,
+		Class:        string(e.Spec.Class),
+		Worker:       e.Share.Worker,
+		Accelerators: e.Share.Accelerators,
+		Cores:        e.Share.Cores,
+		Memory:       e.Share.Memory,
+		Input:        e.Spec.Input,
+		Object:       e.Spec.Object,
+		Lease:        leaseOf(e.Peers).Seconds(),
 	}
-	for d.ctx.Err() == nil {
-		report, err := d.client.Stop(d.ctx, Name(e.Task))
-		if refused(err) || (err == nil && report.State != StateRunning) {
-			break
-		}
-		pause(d.ctx, DefaultRetry)
+}
+
+func runnerTasks(list []Task) []agent.RunnerTask {
+	tasks := make([]agent.RunnerTask, 0, len(list))
+	for _, t := range list {
+		tasks = append(tasks, agent.RunnerTask{
+			Task: wire.TaskID{Job: t.Job, Attempt: t.Attempt, Rank: t.Rank, Epoch: t.Epoch},
+			Share: floor.Share{
+				Worker:       t.Worker,
+				Accelerators: t.Accelerators,
+				Cores:        t.Cores,
+				Memory:       t.Memory,
+			},
+			Peers: t.Peers,
+		})
 	}
-	d.post(d.ctx, agent.TaskStopped{Task: e.Task})
+	return tasks
 }
 
 // refused reports whether the runner answered that it will not.
--- a/internal/upstream/fake.go
+++ b/internal/upstream/fake.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -19,15 +21,22 @@
 	// input of "sleep 2s" sleeps for two seconds, "fail" fails, and
 	// "answer 100000" answers with so many bytes.
 	Fake struct {
-		mu    sync.Mutex
-		tasks map[string]*fakeTask
-		runs  map[job.ID]int
+		mu          sync.Mutex
+		tasks       map[string]*fakeTask
+		runs        map[job.ID]int
+		usage       Usage
+		checkpoints int
 	}
 
 	fakeTask struct {
-		report Report
-		ended  chan struct{}
-		timer  *time.Timer
+		task     Task
+		report   Report
+		ended    chan struct{}
+		timer    *time.Timer
+		lease    time.Duration
+		lapses   *time.Timer
+		deleted  bool
+		throttle bool
 	}
 )
 
@@ -43,12 +52,51 @@
 	return f.runs[id]
 }
 
+// Running returns the names of the tasks that run, in order.
+func (f *Fake) Running() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name, t := range f.tasks {
+		if t.report.State == StateRunning {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Throttled reports whether a task is slowed down.
+func (f *Fake) Throttled(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t, ok := f.tasks[name]
+	return ok && t.throttle
+}
+
+// Checkpoints returns the number of checkpoints made.
+func (f *Fake) Checkpoints() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.checkpoints
+}
+
+// SetUsage sets what the runner reports of its worker.
+func (f *Fake) SetUsage(usage Usage) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.usage = usage
+}
+
 // Handler serves the runner's interface.
 func (f *Fake) Handler() http.Handler {
 	r := chi.NewRouter()
+	r.Get("/v1/tasks", f.list)
 	r.Put("/v1/tasks/{id}", f.start)
 	r.Get("/v1/tasks/{id}", f.wait)
 	r.Delete("/v1/tasks/{id}", f.stop)
+	r.Put("/v1/tasks/{id}/throttle", f.slow)
+	r.Get("/v1/usage", f.report)
 	return r
 }
 
@@ -66,38 +114,61 @@
 		t = f.begin(task)
 		f.tasks[name] = t
 	}
-	writeReport(w, t.report)
+	f.renew(t)
+	writeJSON(w, t.report)
 }
 
 func (f *Fake) begin(task Task) *fakeTask {
 	if task.Rank == 0 {
 		f.runs[task.Job]++
 	}
-	t := &fakeTask{report: Report{State: StateRunning}, ended: make(chan struct{})}
+	t := &fakeTask{
+		task:   task,
+		report: Report{State: StateRunning},
+		ended:  make(chan struct{}),
+		lease:  time.Duration(task.Lease * float64(time.Second)),
+	}
 	duration, report := fakeOutcome(task)
 	t.timer = time.AfterFunc(duration, func() { f.end(t, report) })
+	t.lapses = time.AfterFunc(t.lease, func() { f.end(t, lapsed()) })
 	return t
 }
 
+// renew renews a lease that has not passed. It is called with the lock held.
+func (f *Fake) renew(t *fakeTask) {
+	if t.report.State == StateRunning {
+		t.lapses.Reset(t.lease)
+	}
+}
+
 func (f *Fake) end(t *fakeTask, report Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	t.close(report)
+}
+
+func (t *fakeTask) close(report Report) {
 	if t.report.State != StateRunning {
 		return
 	}
 	t.report = report
+	t.timer.Stop()
+	t.lapses.Stop()
 	close(t.ended)
 }
 
 func (f *Fake) wait(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	t, ok := f.tasks[chi.URLParam(r, "id")]
+	if ok {
+		f.renew(t)
+	}
 	f.mu.Unlock()
 	if !ok {
 		http.Error(w, "no such task", http.StatusNotFound)
 		return
 	}
-	timer := time.NewTimer(PollWait)
+	timer := time.NewTimer(min(querySeconds(r, "wait"), MaxWait))
 	defer timer.Stop()
 	select {
 	case <-t.ended:
@@ -108,22 +179,63 @@
 	f.mu.Lock()
 	report := t.report
 	f.mu.Unlock()
-	writeReport(w, report)
+	writeJSON(w, report)
 }
 
+// stop stops a task at once. A task that was never started gets an entry, so
+// that it never starts.
 func (f *Fake) stop(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	name := chi.URLParam(r, "id")
+	t, ok := f.tasks[name]
+	if !ok {
+		t = &fakeTask{report: Report{State: StateStopped}}
+		f.tasks[name] = t
+	}
+	if r.URL.Query().Get("checkpoint") == "true" && t.report.State == StateRunning {
+		f.checkpoints++
+	}
+	t.deleted = true
+	t.close(Report{State: StateStopped, Reason: "stopped"})
+	writeJSON(w, t.report)
+}
+
+func (f *Fake) list(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	tasks := []Task{}
+	for _, t := range f.tasks {
+		if !t.deleted {
+			task := t.task
+			task.Input = nil
+			tasks = append(tasks, task)
+		}
+	}
+	writeJSON(w, tasks)
+}
+
+func (f *Fake) slow(w http.ResponseWriter, r *http.Request) {
+	var body Throttle
+	if err := json.NewDecoder(io.LimitReader(r.Body, MaxAnswer)).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	t, ok := f.tasks[chi.URLParam(r, "id")]
-	f.mu.Unlock()
 	if !ok {
 		http.Error(w, "no such task", http.StatusNotFound)
 		return
 	}
-	f.end(t, Report{State: StateStopped, Reason: "stopped"})
+	t.throttle = body.Slow
+	writeJSON(w, body)
+}
+
+func (f *Fake) report(w http.ResponseWriter, _ *http.Request) {
 	f.mu.Lock()
-	report := t.report
-	f.mu.Unlock()
-	writeReport(w, report)
+	defer f.mu.Unlock()
+	writeJSON(w, f.usage)
 }
 
 // fakeOutcome returns how long a task runs and what it ends with.
@@ -149,9 +261,21 @@
 	return 0, done
 }
 
-func writeReport(w http.ResponseWriter, report Report) {
+func lapsed() Report {
+	return Report{State: StateStopped, Reason: "the task's lease has passed"}
+}
+
+func querySeconds(r *http.Request, key string) time.Duration {
+	value, err := strconv.ParseFloat(r.URL.Query().Get(key), 64)
+	if err != nil || value < 0 {
+		return 0
+	}
+	return time.Duration(value * float64(time.Second))
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(report); err != nil {
+	if err := json.NewEncoder(w).Encode(body); err != nil {
 		return
 	}
 }
--- a/pkg/gang/gang.go
+++ b/pkg/gang/gang.go
@@ -257,7 +257,7 @@
 		m.actions.Stop = true
 	}
 	size := Rank(len(m.ring))
-	for distance := Rank(1); distance < size; distance *= 2 {
+	for distance := Rank(1); 2*distance <= size; distance *= 2 {
 		m.send((m.rank+distance)%size, false)
 		if 2*distance != size {
 			m.send((m.rank+size-distance)%size, false)
