--- a/internal/lab/runner.go
+++ b/internal/lab/runner.go
@@ -6,6 +6,7 @@
 	"github.com/lovageroad/lovageroad/internal/agent"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
+	"github.com/lovageroad/lovageroad/internal/upstream"
 	"github.com/lovageroad/lovageroad/internal/wire"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
@@ -31,8 +32,17 @@
 	}
 
 	running struct {
-		life uint64
-		done bool
+		life   uint64
+		done   bool
+		share  floor.Share
+		peers  []machine.Node
+		result wire.Result
+	}
+
+	// adopter gives an agent the tasks that its runner has when it starts.
+	adopter struct {
+		*agent.Agent
+		runner *Runner
 	}
 )
 
@@ -41,11 +51,30 @@
 	r := &Runner{Worker: worker, world: w, tasks: make(map[wire.TaskID]*running)}
 	r.Process = w.Add(node, func(p *Process) machine.Machine {
 		all := append([]agent.Option{agent.WithIncarnation(wire.Incarnation(p.Life()))}, options...)
-		return agent.New(worker, gates, all...)
+		return adopter{Agent: agent.New(worker, gates, all...), runner: r}
 	}, r.handle, agent.Start{})
 	return r
 }
 
+// Step applies one event.
+func (a adopter) Step(now time.Time, event machine.Event) []machine.Effect {
+	if _, ok := event.(agent.Start); ok {
+		event = agent.Start{Tasks: a.runner.list()}
+	}
+	return a.Agent.Step(now, event)
+}
+
+// list returns the tasks that the runner has.
+func (r *Runner) list() []agent.RunnerTask {
+	var list []agent.RunnerTask
+	for _, id := range r.Started {
+		if t, ok := r.tasks[id]; ok {
+			list = append(list, agent.RunnerTask{Task: id, Share: t.share, Peers: t.peers})
+		}
+	}
+	return list
+}
+
 // Fail ends the tasks and the agent: the whole machine is lost.
 func (r *Runner) Fail() {
 	r.Process.Crash()
@@ -72,6 +101,10 @@
 	switch e := effect.(type) {
 	case agent.RunTask:
 		r.run(p, e)
+	case agent.FollowTask:
+		r.follow(p, e.Task)
+	case agent.ForgetTask:
+		delete(r.tasks, e.Task)
 	case agent.StopTask:
 		delete(r.tasks, e.Task)
 		p.PostAfter(DefaultDelay, agent.TaskStopped{Task: e.Task})
@@ -82,7 +115,7 @@
 	if _, ok := r.tasks[e.Task]; ok {
 		return
 	}
-	t := &running{life: p.Life()}
+	t := &running{life: p.Life(), share: e.Share, peers: e.Peers}
 	r.tasks[e.Task] = t
 	r.Started = append(r.Started, e.Task)
 	duration, err := time.ParseDuration(string(e.Spec.Class))
@@ -93,23 +126,41 @@
 	if string(e.Spec.Input) == failingInput {
 		result = wire.Result{Failed: true, Reason: "the task failed"}
 	}
-	r.world.After(duration, func() { r.end(p, e.Task, t, result) })
+	t.result = result
+	r.world.After(duration, func() { r.end(p, e.Task, t) })
 	r.watch(p, e.Task, t)
 }
 
-func (r *Runner) end(p *Process, id wire.TaskID, t *running, result wire.Result) {
+// follow delivers the result of a task to another life of its agent.
+func (r *Runner) follow(p *Process, id wire.TaskID) {
+	t, ok := r.tasks[id]
+	if !ok {
+		p.PostAfter(DefaultDelay, agent.TaskStopped{Task: id})
+		return
+	}
+	t.life = p.Life()
+	if t.done {
+		p.PostAfter(DefaultDelay, agent.TaskEnded{Task: id, Result: t.result})
+	}
+}
+
+func (r *Runner) end(p *Process, id wire.TaskID, t *running) {
 	if r.tasks[id] != t || t.done {
 		return
 	}
 	t.done = true
 	if p.Life() == t.life {
-		p.Post(agent.TaskEnded{Task: id, Result: result})
+		p.Post(agent.TaskEnded{Task: id, Result: t.result})
 	}
 }
 
 // watch stops a task whose agent has gone for the lease.
 func (r *Runner) watch(p *Process, id wire.TaskID, t *running) {
-	r.world.After(DefaultTaskLease, func() {
+	lease := DefaultTaskLease
+	if len(t.peers) > 1 {
+		lease = upstream.GangLease
+	}
+	r.world.After(lease, func() {
 		if r.tasks[id] != t || t.done {
 			return
 		}
