--- a/internal/floor/floor.go
+++ b/internal/floor/floor.go
@@ -123,3 +123,16 @@
 	}
 	return s
 }
+
+// Draw returns the cooling that a share of the worker stands for: three quarters
+// go with the accelerators and one with the cores, or all with the cores if the
+// worker has no accelerators.
+func (w Worker) Draw(s Share) Watts {
+	cores := Watts(max(1, w.Cores))
+	if w.Accelerators == 0 {
+		return w.Cooling * Watts(s.Cores) / cores
+	}
+	accelerators := Watts(w.Accelerators)
+	part := 3*Watts(s.Accelerators.Count())*cores + Watts(s.Cores)*accelerators
+	return w.Cooling * part / (4 * cores * accelerators)
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -148,7 +148,7 @@
 		Remember:       DefaultRemember,
 		Rate:           DefaultRate,
 		Burst:          DefaultBurst,
-		Policy:         scheduler.NewFirstFit,
+		Policy:         func() scheduler.Policy { return scheduler.New() },
 	}
 	for _, option := range options {
 		option(&config)
--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// floorKnown reports whether every agent has had the time to announce itself.
+// Until then no job is refused for want of workers: the gate that asks for it
+// asks again.
+func (l *leader) floorKnown(now time.Time) bool {
+	return now.Sub(l.since) >= l.gate.config.AgentTimeout
+}
+
 // loseAbsent gives up the members whose agents have not come back since the
 // leader began.
 func (l *leader) loseAbsent(now time.Time) {
