--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -45,7 +45,7 @@
 
 // cluster is a set of processes on loopback.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	store    *platform.Client
 	platform string
@@ -56,7 +56,7 @@
 	runners  []*upstream.Fake
 }
 
-func newCluster(t *testing.T, gates, agents int) *cluster {
+func newCluster(t testing.TB, gates, agents int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), platform: free(t)}
 	c.run("platform", fmt.Sprintf("[platform]\nlisten = %s\n", c.platform))
@@ -188,7 +188,7 @@
 // free returns an address on which nothing listens. Each test process has a
 // loopback address of its own, so that no other process takes the port between
 // now and its use.
-func free(t *testing.T) string {
+func free(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()>>8%250, os.Getpid()%256))
 	if err != nil {
