Keep large cells whole, and bind cells over the account's own borrowers

A job of one worker took part of a cell of several while a free place was there, and cells of others barred an account's borrowers from its own: claims of the 2x8 and 3x8 shapes waited up to 38 min. Small gangs borrow first, and unclaimed cells move out of the way.

--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -145,7 +145,7 @@
 			continue
 		}
 		for _, c := range t.cells {
-			if c.admits(k) && p.adoptInto(k, c) {
+			if len(c.seats) == k.Shape.Workers && c.admits(k) && p.adoptInto(k, c) {
 				break
 			}
 		}
@@ -165,7 +165,7 @@
 		return false
 	}
 	old := c.unbindAll()
-	if p.bindOver(t, c) && p.complete(c, bindPack) && p.join(t, c) {
+	if p.bindOver(t, c) && p.join(t, c) {
 		return true
 	}
 	c.unbindAll()
@@ -190,25 +190,25 @@
 	return true
 }
 
-// bindOver binds seats of an unbound cell around the shares of a task.
+// bindOver binds an unbound cell around the shares of a task.
 func (p *policy) bindOver(t *task, c *cell) bool {
 	n := c.need()
-	q := &query{view: viewUnbound}
 	d := p.floor.domain(t.shares[0].worker, c.shape.Adjacency)
-	for i, s := range t.shares {
+	shares := make([]share, 0, len(t.shares))
+	for _, s := range t.shares {
 		w := s.worker
 		if len(c.seats) > 1 && p.floor.domain(w, c.shape.Adjacency) != d {
 			return false
 		}
 		wanted := n.on(w)
-		mask, ok := around(s.mask, w.bound, w.Accelerators, n.accelerators)
-		seat := share{worker: w, mask: mask, amount: wanted}
-		if !ok || !w.boundAmount.plus(wanted).within(w.capacity()) || !q.affordable(seat) {
+		busy, used := w.inUse()
+		mask, ok := around(s.mask, busy, w.Accelerators, n.accelerators)
+		if !ok || !used.plus(wanted).within(w.capacity()) {
 			return false
 		}
-		c.bind(i, seat)
+		shares = append(shares, share{worker: w, mask: mask, amount: wanted})
 	}
-	return true
+	return p.bindMoving(c, shares)
 }
 
 // around returns n accelerators of an aligned group that include the mask.
--- a/internal/scheduler/borrow.go
+++ b/internal/scheduler/borrow.go
@@ -34,16 +34,9 @@
 		if l == nil {
 			return
 		}
-		t := l.head()
-		shares := p.place(t, viewFree)
-		if shares == nil {
+		if !p.borrow(l.head()) {
 			p.block(l)
-			continue
 		}
-		t.shares = shares
-		p.dequeue(t)
-		p.fillHole(t)
-		p.start(t)
 	}
 }
 
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -16,6 +16,7 @@
 		if len(t.cells) == 0 {
 			continue
 		}
+		p.shrink(t)
 		p.claimLanes(t)
 		p.adopt(t)
 	}
@@ -40,6 +41,9 @@
 	if !ok || best.loss > 0 && p.recovering() {
 		return false
 	}
+	if len(best.cell.seats) > t.Shape.Workers && p.borrow(t) {
+		return true
+	}
 	p.enter(t, best.cell, best.seats, best.shares)
 	grace := p.config.Grace
 	if t.urgent {
@@ -49,6 +53,20 @@
 	return true
 }
 
+// borrow starts a task on a free place, so that a cell for larger jobs stays
+// whole. Should the task have to leave, it claims the cell.
+func (p *policy) borrow(t *task) bool {
+	shares := p.place(t, viewFree)
+	if shares == nil {
+		return false
+	}
+	t.shares = shares
+	p.dequeue(t)
+	p.fillHole(t)
+	p.start(t)
+	return true
+}
+
 // bestOffer returns the place in the account's cells that costs the least. A
 // cell without tasks may change its place first.
 func (p *policy) bestOffer(t *task) (offer, bool) {
@@ -120,32 +138,49 @@
 		c.bindAll(old)
 		return false
 	}
+	if !p.bindMoving(c, shares) {
+		c.bindAll(old)
+		return false
+	}
+	return true
+}
+
+// bindMoving binds an unbound cell to the shares and what else it needs. Cells
+// without tasks that stand there move. It returns false and leaves all as it was
+// if they cannot.
+func (p *policy) bindMoving(c *cell, shares []share) bool {
 	displaced := p.displacedBy(shares)
 	olds := make([][]share, len(displaced))
 	for i, d := range displaced {
 		olds[i] = d.unbindAll()
 	}
-	c.bindAll(shares)
+	q := &query{view: viewUnbound}
+	fits := true
+	for i, s := range shares {
+		fits = fits && s.amount.within(s.worker.capacity().minus(s.worker.boundAmount)) && q.affordable(s)
+		c.bind(i, s)
+	}
+	fits = fits && p.complete(c, bindPack)
 	for _, d := range displaced {
+		if !fits {
+			break
+		}
 		found := p.find(d.query(bindPack))
-		if found == nil {
-			p.rollBack(c, old, displaced, olds)
-			return false
+		if fits = found != nil; fits {
+			d.bindAll(found)
 		}
-		d.bindAll(found)
 	}
-	return true
-}
-
-func (p *policy) rollBack(c *cell, old []share, displaced []*cell, olds [][]share) {
+	if fits {
+		return true
+	}
 	c.unbindAll()
 	for _, d := range displaced {
 		d.unbindAll()
 	}
-	c.bindAll(old)
 	for i, d := range displaced {
 		d.bindAll(olds[i])
 	}
+	return false
 }
 
 func (p *policy) lossOf(shares []share) int {
@@ -175,3 +210,41 @@
 	slices.SortStableFunc(displaced, packOrder)
 	return displaced
 }
+
+// shrink moves jobs that run alone on a cell to a smaller cell of the account,
+// by exchanging what the cells stand on.
+func (p *policy) shrink(t *tenant) {
+	for i := len(t.cells) - 1; i > 0; i-- {
+		c := t.cells[i]
+		if len(c.tasks) != 1 || !c.tasks[0].active() {
+			continue
+		}
+		for _, d := range t.cells[:i] {
+			if d.size() < c.size() && len(d.tasks) == 0 && d.admits(c.tasks[0]) && p.transfer(c.tasks[0], c, d) {
+				break
+			}
+		}
+	}
+}
+
+// transfer moves a running job from one cell to another where it stands.
+func (p *policy) transfer(t *task, from, to *cell) bool {
+	for i := range from.seats {
+		if w := from.seats[i].share.worker; w == nil || !w.usable() {
+			return false
+		}
+	}
+	seats := t.seats
+	p.leaveCell(t)
+	oldFrom, oldTo := from.unbindAll(), to.unbindAll()
+	if p.bindOver(t, to) && p.join(t, to) && p.fill(from, bindPack) {
+		return true
+	}
+	p.leaveCell(t)
+	to.unbindAll()
+	from.unbindAll()
+	from.bindAll(oldFrom)
+	to.bindAll(oldTo)
+	p.enter(t, from, seats, t.shares)
+	return false
+}
