--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -21,7 +21,7 @@
 		w.lost, w.drain = false, false
 		p.floor.describe(w, description)
 	}
-	p.broken = true
+	p.broken, p.repackDue = true, time.Time{}
 	p.free()
 }
 
@@ -48,7 +48,7 @@
 func (p *policy) vacateCells(w *worker) {
 	for _, t := range slices.Clone(w.pending) {
 		if t.state == statePending {
-			p.giveUp(t)
+			p.giveUp(t.task)
 		}
 	}
 	for _, c := range slices.Clone(w.cells) {
@@ -63,7 +63,7 @@
 			c.unbind(i)
 		}
 	}
-	p.broken = true
+	p.broken, p.repackDue = true, time.Time{}
 	p.free()
 }
 
@@ -99,6 +99,7 @@
 		delete(p.byName, t.name)
 		return true
 	})
+	p.repackDue = time.Time{}
 	p.restoreCells()
 	p.free()
 }
@@ -196,6 +197,7 @@
 	t := &task{Job: entry, tenant: p.tenant(entry.Account), arrival: p.arrivals}
 	p.arrivals++
 	t.urgent = t.tenant.rank(entry.Class) == urgentRank
+	t.estimate = t.tenant.estimate(entry.Class)
 	p.tasks[entry.ID] = t
 	return t
 }
@@ -345,7 +347,7 @@
 	default:
 		t.absolve()
 		if !t.slow && t.state == stateRunning {
-			t.tenant.estimate(t.Class).learn(t.declared(), t.progress+p.now.Sub(t.started))
+			t.estimate.learn(t.declared(), t.progress+p.now.Sub(t.started))
 		}
 	}
 }
--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -3,13 +3,17 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/lovageroad/lovageroad/internal/floor"
 )
 
 const (
 	bindPack = 8
-	packOnly = 1 << 24
+
+	// repackPause is the least time between two attempts to bind all unclaimed
+	// guarantees anew while the floor stays as it is.
+	repackPause = time.Minute
 )
 
 // atRisk returns the number of guaranteed shapes that do not stand on the floor.
@@ -39,7 +43,8 @@
 			left++
 		}
 	}
-	if left > 0 {
+	if left > 0 && !p.now.Before(p.repackDue) {
+		p.repackDue = p.now.Add(repackPause)
 		p.repack()
 	}
 	p.changes++
@@ -49,6 +54,13 @@
 	return &query{view: viewUnbound, need: c.need(), workers: len(c.seats), width: c.shape.Adjacency, pack: pack}
 }
 
+// blindQuery looks for the tightest place, whoever runs there.
+func (c *cell) blindQuery() *query {
+	q := c.query(bindPack)
+	q.blind = true
+	return q
+}
+
 // fill binds what is missing of a cell. A cell with tasks keeps its other seats.
 func (p *policy) fill(c *cell, pack int) bool {
 	if len(c.tasks) == 0 {
@@ -108,7 +120,7 @@
 		old[i] = c.unbindAll()
 	}
 	for _, c := range loose {
-		if shares := p.find(c.query(packOnly)); shares != nil {
+		if shares := p.find(c.blindQuery()); shares != nil {
 			c.bindAll(shares)
 			c.tenant.dirty = true
 		}
--- a/internal/scheduler/cooling.go
+++ b/internal/scheduler/cooling.go
@@ -61,7 +61,7 @@
 		}
 	}
 	for _, t := range w.pending {
-		b.held += w.draw(share{mask: t.maskOn(w), amount: t.on(w)})
+		b.held += w.draw(t.share(w))
 	}
 }
 
@@ -208,9 +208,9 @@
 func (p *policy) quicken(b *budget, drawn floor.Watts) {
 	for _, w := range b.workers {
 		for _, t := range w.tasks {
-			if t.slow && t.state == stateRunning && (drawn+b.drawn(t)/2)*100 <= b.limit*calmPart && t.calm() {
+			if t.slow && t.state == stateRunning && (drawn+b.drawn(t.task)/2)*100 <= b.limit*calmPart && t.calm() {
 				t.slow = false
-				drawn += b.drawn(t) / 2
+				drawn += b.drawn(t.task) / 2
 				p.decide(Throttle{Job: t.ID})
 			}
 		}
@@ -233,11 +233,11 @@
 	lowest := forbidden
 	for _, w := range b.workers {
 		for _, t := range w.tasks {
-			if t.state != stateRunning || t.cell != nil || !wanted(t) {
+			if t.state != stateRunning || t.cell != nil || !wanted(t.task) {
 				continue
 			}
-			if price := p.weigh(t); price < lowest && b.drawn(t) > 0 {
-				best, lowest = t, price
+			if price := p.weigh(t.task); price < lowest && b.drawn(t.task) > 0 {
+				best, lowest = t.task, price
 			}
 		}
 	}
@@ -250,7 +250,7 @@
 	for _, w := range b.workers {
 		for _, t := range w.tasks {
 			if t.state == stateLeaving && t.cell == nil {
-				total += w.draw(share{mask: t.maskOn(w), amount: t.on(w)})
+				total += w.draw(t.share(w))
 			}
 		}
 	}
--- a/internal/scheduler/estimate.go
+++ b/internal/scheduler/estimate.go
@@ -61,12 +61,12 @@
 
 // expected is how long the task is expected to run still, when it starts.
 func (t *task) expected() time.Duration {
-	return t.scaled(t.tenant.estimate(t.Class).middle())
+	return t.scaled(t.estimate.middle())
 }
 
 // longest is how long the task may run when it starts, for most such tasks.
 func (t *task) longest() time.Duration {
-	return t.scaled(t.tenant.estimate(t.Class).high())
+	return t.scaled(t.estimate.high())
 }
 
 func (t *task) scaled(factor float64) time.Duration {
--- a/internal/scheduler/explain.go
+++ b/internal/scheduler/explain.go
@@ -78,7 +78,7 @@
 	var ids []job.ID
 	for _, s := range t.shares {
 		for _, v := range s.worker.tasks {
-			taken := s.mask == 0 || v.maskOn(s.worker)&s.mask != 0
+			taken := s.mask == 0 || v.mask&s.mask != 0
 			if taken && len(ids) < maxBlockers && !slices.Contains(ids, v.ID) {
 				ids = append(ids, v.ID)
 			}
--- a/internal/scheduler/head.go
+++ b/internal/scheduler/head.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/lovageroad/lovageroad/internal/floor"
 )
 
 const (
@@ -171,7 +169,7 @@
 	last := now
 	for _, s := range h.shares {
 		for _, t := range s.worker.tasks {
-			if end := t.end(now); t.maskOn(s.worker)&s.mask != 0 && end.After(last) {
+			if end := t.end(now); t.mask&s.mask != 0 && end.After(last) {
 				last = end
 			}
 		}
@@ -184,7 +182,7 @@
 	for _, s := range h.shares {
 		for _, t := range slices.Clone(s.worker.tasks) {
 			if t.filler == h && t.state == stateRunning && t.reclaimable() {
-				p.displace(t, p.config.Grace)
+				p.displace(t.task, p.config.Grace)
 				found = true
 			}
 		}
@@ -229,7 +227,10 @@
 	}
 	busy, used := w.busy|w.held, w.busyAmount.plus(w.heldAmount)
 	p.ending = append(append(p.ending[:0], w.tasks...), w.pending...)
-	slices.SortStableFunc(p.ending, func(x, y *task) int { return x.end(p.now).Compare(y.end(p.now)) })
+	for i := range p.ending {
+		p.ending[i].ends = p.ending[i].end(p.now)
+	}
+	slices.SortStableFunc(p.ending, func(x, y part) int { return x.ends.Compare(y.ends) })
 	at := p.now
 	for i := 0; ; i++ {
 		mask, _, ok := group(busy, w.Accelerators, n.accelerators)
@@ -239,12 +240,7 @@
 		if i == len(p.ending) {
 			return vacancy{}, false
 		}
-		at = p.ending[i].end(p.now)
-		busy, used = p.without(w, p.ending[i], busy, used)
+		at = p.ending[i].ends
+		busy, used = busy&^p.ending[i].mask, used.minus(p.ending[i].amount)
 	}
 }
-
-// without returns what is in use when a task has left.
-func (p *policy) without(w *worker, t *task, busy floor.Accelerators, used amount) (floor.Accelerators, amount) {
-	return busy &^ t.maskOn(w), used.minus(t.on(w))
-}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -67,11 +67,7 @@
 	w.Worker = description
 	w.nominal = 0
 	for _, t := range w.tasks {
-		for _, s := range t.shares {
-			if s.worker == w {
-				w.nominal += w.draw(s)
-			}
-		}
+		w.nominal += w.draw(t.share(w))
 	}
 	f.rebuild()
 }
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -69,17 +69,18 @@
 
 		// freed counts what may let a waiting job start, changes what may let an
 		// urgent one.
-		freed   uint64
-		changes uint64
-		decided uint64
-		broken  bool
+		freed     uint64
+		changes   uint64
+		decided   uint64
+		broken    bool
+		repackDue time.Time
 
 		decisions     []Decision
 		wake          time.Time
 		candidates    []candidate
 		victims       []*task
 		chosen        []*task
-		ending        []*task
+		ending        []part
 		vacancies     []vacancy
 		chosenTenants []*tenant
 		scratch       query
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -71,28 +71,28 @@
 	w := s.worker
 	total := 0
 	used := w.busyAmount.plus(s.amount)
-	add := func(v *task) {
-		victims = append(victims, v)
-		total += p.price(t, v, firm)
-		used = used.minus(v.on(w))
+	add := func(v part) {
+		victims = append(victims, v.task)
+		total += p.price(t, v.task, firm)
+		used = used.minus(v.amount)
 	}
 	for _, v := range w.tasks {
-		if v != t && v.maskOn(w)&s.mask != 0 {
+		if v.task != t && v.mask&s.mask != 0 {
 			add(v)
 		}
 	}
 	for _, v := range w.pending {
-		if v == t {
+		if v.task == t {
 			continue
 		}
-		used = used.plus(v.on(w))
-		if v.maskOn(w)&s.mask != 0 {
+		used = used.plus(v.amount)
+		if v.mask&s.mask != 0 {
 			add(v)
 		}
 	}
 	for !used.within(w.capacity()) {
-		next := p.cheapest(t, w, firm, victims)
-		if next == nil {
+		next, ok := p.cheapest(t, w, firm, victims)
+		if !ok {
 			return victims, forbidden
 		}
 		add(next)
@@ -114,18 +114,17 @@
 }
 
 // cheapest returns the task on a worker whose leaving costs the least.
-func (p *policy) cheapest(t *task, w *worker, firm bool, except []*task) *task {
-	var best *task
+func (p *policy) cheapest(t *task, w *worker, firm bool, except []*task) (best part, found bool) {
 	lowest := forbidden
-	for _, list := range [][]*task{w.tasks, w.pending} {
+	for _, list := range [][]part{w.tasks, w.pending} {
 		for _, v := range list {
-			if v == t || slices.Contains(except, v) {
+			if v.task == t || slices.Contains(except, v.task) {
 				continue
 			}
-			if price := p.price(t, v, firm); price < lowest {
-				best, lowest = v, price
+			if price := p.price(t, v.task, firm); price < lowest {
+				best, lowest, found = v, price, true
 			}
 		}
 	}
-	return best
+	return best, found
 }
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -42,6 +42,7 @@
 		head    *head
 		task    *task
 		idle    bool
+		blind   bool
 		pack    int
 		keep    int
 	}
@@ -185,7 +186,7 @@
 // groupOn chooses the accelerators: those that are free, or whose borrowers are
 // the least loss.
 func (p *policy) groupOn(q *query, w *worker, busy floor.Accelerators) (floor.Accelerators, int, bool) {
-	if q.view == viewFree || q.need.accelerators == 0 {
+	if q.view == viewFree || q.blind || q.need.accelerators == 0 {
 		return group(busy, w.Accelerators, q.need.accelerators)
 	}
 	mask, excess, ok := group(busy|w.busy|w.held, w.Accelerators, q.need.accelerators)
@@ -246,9 +247,9 @@
 func (p *policy) firmOn(q *query, w *worker) (floor.Accelerators, amount) {
 	busy, used := w.held, w.heldAmount
 	for _, t := range w.tasks {
-		if p.price(q.task, t, false) >= forbidden {
-			busy |= t.maskOn(w)
-			used = used.plus(t.on(w))
+		if p.price(q.task, t.task, false) >= forbidden {
+			busy |= t.mask
+			used = used.plus(t.amount)
 		}
 	}
 	return busy, used
@@ -275,7 +276,7 @@
 func (p *policy) cost(q *query, s share, excess int) int {
 	w := s.worker
 	cost := 0
-	if q.view != viewFree {
+	if q.view != viewFree && !q.blind {
 		cost += p.loss(q.task, s, q.firm())
 	}
 	if q.need.accelerators == 0 {
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -44,6 +44,8 @@
 		failed    time.Time
 		filler    *head
 		head      *head
+		estimate  *estimate
+		ends      time.Time
 		slow      bool
 		slowed    time.Time
 	}
@@ -180,21 +182,3 @@
 	}
 	p.hold(t)
 }
-
-func (t *task) maskOn(w *worker) floor.Accelerators {
-	for _, s := range t.shares {
-		if s.worker == w {
-			return s.mask
-		}
-	}
-	return 0
-}
-
-func (t *task) on(w *worker) amount {
-	for _, s := range t.shares {
-		if s.worker == w {
-			return s.amount
-		}
-	}
-	return amount{}
-}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -29,8 +29,8 @@
 		busy, held, bound                   floor.Accelerators
 		busyAmount, heldAmount, boundAmount amount
 
-		tasks   []*task
-		pending []*task
+		tasks   []part
+		pending []part
 		cells   []*cell
 		head    *head
 		kept    floor.Accelerators
@@ -49,6 +49,13 @@
 		nominal  floor.Watts
 	}
 
+	// part is a share with the job that holds it.
+	part struct {
+		*task
+		mask   floor.Accelerators
+		amount amount
+	}
+
 	// share is what one member of a job holds on a worker.
 	share struct {
 		worker *worker
@@ -156,12 +163,21 @@
 	return mask
 }
 
+func (s share) of(t *task) part {
+	return part{task: t, mask: s.mask, amount: s.amount}
+}
+
+// share returns the share that a part of a worker stands for.
+func (t part) share(w *worker) share {
+	return share{worker: w, mask: t.mask, amount: t.amount}
+}
+
 // occupy adds a running share to its worker.
 func (s share) occupy(t *task) {
 	s.worker.busy |= s.mask
 	s.worker.busyAmount = s.worker.busyAmount.plus(s.amount)
 	s.load(1)
-	s.worker.tasks = append(s.worker.tasks, t)
+	s.worker.tasks = append(s.worker.tasks, s.of(t))
 	s.worker.count(1)
 }
 
@@ -169,14 +185,14 @@
 	s.worker.busy &^= s.mask
 	s.worker.busyAmount = s.worker.busyAmount.minus(s.amount)
 	s.load(-1)
-	s.worker.tasks = without(s.worker.tasks, t)
+	s.worker.tasks = without(s.worker.tasks, s.of(t))
 	s.worker.count(-1)
 }
 
 func (s share) hold(t *task) {
 	s.worker.held |= s.mask
 	s.worker.heldAmount = s.worker.heldAmount.plus(s.amount)
-	s.worker.pending = append(s.worker.pending, t)
+	s.worker.pending = append(s.worker.pending, s.of(t))
 	s.worker.count(1)
 	s.keep(1)
 }
@@ -184,7 +200,7 @@
 func (s share) unhold(t *task) {
 	s.worker.held &^= s.mask
 	s.worker.heldAmount = s.worker.heldAmount.minus(s.amount)
-	s.worker.pending = without(s.worker.pending, t)
+	s.worker.pending = without(s.worker.pending, s.of(t))
 	s.worker.count(-1)
 	s.keep(-1)
 }
