--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -3,13 +3,17 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/lovageroad/lovageroad/internal/floor"
 )
 
 const (
 	bindPack = 8
-	packOnly = 1 << 24
+
+	// repackPause is the least time between two attempts to bind all unclaimed
+	// guarantees anew while the floor stays as it is.
+	repackPause = time.Minute
 )
 
 // atRisk returns the number of guaranteed shapes that do not stand on the floor.
@@ -39,7 +43,8 @@
 			left++
 		}
 	}
-	if left > 0 {
+	if left > 0 && !p.now.Before(p.repackDue) {
+		p.repackDue = p.now.Add(repackPause)
 		p.repack()
 	}
 	p.changes++
@@ -49,6 +54,13 @@
 	return &query{view: viewUnbound, need: c.need(), workers: len(c.seats), width: c.shape.Adjacency, pack: pack}
 }
 
+// blindQuery looks for the tightest place, whoever runs there.
+func (c *cell) blindQuery() *query {
+	q := c.query(bindPack)
+	q.blind = true
+	return q
+}
+
 // fill binds what is missing of a cell. A cell with tasks keeps its other seats.
 func (p *policy) fill(c *cell, pack int) bool {
 	if len(c.tasks) == 0 {
@@ -108,7 +120,7 @@
 		old[i] = c.unbindAll()
 	}
 	for _, c := range loose {
-		if shares := p.find(c.query(packOnly)); shares != nil {
+		if shares := p.find(c.blindQuery()); shares != nil {
 			c.bindAll(shares)
 			c.tenant.dirty = true
 		}
@@ -145,7 +157,7 @@
 			continue
 		}
 		for _, c := range t.cells {
-			if c.admits(k) && p.adoptInto(k, c) {
+			if len(c.seats) == k.Shape.Workers && c.admits(k) && p.adoptInto(k, c) {
 				break
 			}
 		}
@@ -165,7 +177,7 @@
 		return false
 	}
 	old := c.unbindAll()
-	if p.bindOver(t, c) && p.complete(c, bindPack) && p.join(t, c) {
+	if p.bindOver(t, c) && p.join(t, c) {
 		return true
 	}
 	c.unbindAll()
@@ -190,25 +202,25 @@
 	return true
 }
 
-// bindOver binds seats of an unbound cell around the shares of a task.
+// bindOver binds an unbound cell around the shares of a task.
 func (p *policy) bindOver(t *task, c *cell) bool {
 	n := c.need()
-	q := &query{view: viewUnbound}
 	d := p.floor.domain(t.shares[0].worker, c.shape.Adjacency)
-	for i, s := range t.shares {
+	shares := make([]share, 0, len(t.shares))
+	for _, s := range t.shares {
 		w := s.worker
 		if len(c.seats) > 1 && p.floor.domain(w, c.shape.Adjacency) != d {
 			return false
 		}
 		wanted := n.on(w)
-		mask, ok := around(s.mask, w.bound, w.Accelerators, n.accelerators)
-		seat := share{worker: w, mask: mask, amount: wanted}
-		if !ok || !w.boundAmount.plus(wanted).within(w.capacity()) || !q.affordable(seat) {
+		busy, used := w.inUse()
+		mask, ok := around(s.mask, busy, w.Accelerators, n.accelerators)
+		if !ok || !used.plus(wanted).within(w.capacity()) {
 			return false
 		}
-		c.bind(i, seat)
+		shares = append(shares, share{worker: w, mask: mask, amount: wanted})
 	}
-	return true
+	return p.bindMoving(c, shares)
 }
 
 // around returns n accelerators of an aligned group that include the mask.
