--- a/internal/account/check.go
+++ b/internal/account/check.go
@@ -58,6 +58,9 @@
 	case c.Value.Template != nil:
 		return c.Value.Template.Parameters.check("parameters")
 	case c.Value.Account != nil:
+		if string(c.Value.Account.Name) != c.Subject.Name {
+			return wrong("name", "must be %s", c.Subject.Name)
+		}
 		return d.checkAccount(*c.Value.Account)
 	default:
 		return checkBudgets(c.Value.Floor.Budgets)
--- a/internal/gate/operate.go
+++ b/internal/gate/operate.go
@@ -160,3 +160,9 @@
 		d.gate.emit(Recalled{Request: e.Request, Changes: found})
 	})
 }
+
+// Settings returns the settings that the gate holds and their revision, and
+// false if it knows none yet.
+func (g *Gate) Settings() (*account.Directory, revision.Number, bool) {
+	return g.directory.register.Get()
+}
