Tell agents the revision in answers, and unasked only after silence

Cause: a leader told each agent each change at once and again each second until the agent's next announcement, though the answer to that carries it as well.

--- a/internal/gate/spread.go
+++ b/internal/gate/spread.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// SpreadInterval is the time after which a leader tells an agent the newest
-	// revision again.
+	// SpreadInterval is the time between two looks at which agents lack the newest
+	// revision.
 	SpreadInterval = time.Second
+
+	// SpreadSilence is the time without an announcement of an agent that lacks the
+	// newest revision after which its leader tells it unasked.
+	SpreadSilence = 3 * time.Second
 )
 
 type (
@@ -22,6 +26,7 @@
 	heldRevision struct {
 		revision    revision.Number
 		incarnation wire.Incarnation
+		told        time.Time
 	}
 
 	// Spread is how far the revisions have got, as far as a gate knows. Agents is
@@ -42,21 +47,24 @@
 	}
 )
 
-// announced takes note of the revision that an agent holds.
+// announced takes note of the revision that an agent holds. The answer to the
+// announcement tells the agent the newest.
 func (d *directory) announced(now time.Time, m wire.Announce) {
 	d.observe(now, m.Revision)
 	if d.gate.leader == nil {
 		return
 	}
 	have := d.agents[m.Worker.ID]
-	if have.incarnation == m.Incarnation && have.revision > m.Revision {
-		return
+	if have.incarnation != m.Incarnation {
+		have = heldRevision{incarnation: m.Incarnation}
 	}
-	d.agents[m.Worker.ID] = heldRevision{revision: m.Revision, incarnation: m.Incarnation}
+	have.revision = max(have.revision, m.Revision)
+	have.told = now
+	d.agents[m.Worker.ID] = have
 }
 
-// spreadRevision tells the agents that lack it the newest revision, while this
-// gate leads.
+// spreadRevision tells the newest revision to the agents that lack it and have
+// not announced themselves of late, while this gate leads.
 func (d *directory) spreadRevision(now time.Time) {
 	l := d.gate.leader
 	if l == nil || now.Before(d.spread) {
@@ -64,7 +72,8 @@
 	}
 	d.spread = now.Add(SpreadInterval)
 	for _, u := range l.list() {
-		if d.agents[u.worker.ID].revision < d.revision() {
+		held := d.agents[u.worker.ID]
+		if held.revision < d.revision() && now.Sub(held.told) > SpreadSilence {
 			d.gate.send(u.node, wire.Redirect{Leader: d.gate.node, Epoch: l.epoch, Revision: d.revision()})
 		}
 	}
