--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -17,7 +17,6 @@
 	"github.com/lovageroad/lovageroad/internal/mtls"
 	"github.com/lovageroad/lovageroad/internal/operator"
 	"github.com/lovageroad/lovageroad/internal/settings"
-	"github.com/lovageroad/lovageroad/internal/upstream"
 )
 
 const (
@@ -83,7 +82,7 @@
 			Accelerators: 8, Cores: 32, Memory: 64 << 10, Slots: 8,
 			Gates: peers, Upstream: settings.URL("http://" + string(runner)), Platform: platformURL, Drain: devDrain,
 		}
-		group.Go(func() error { return serveFake(ctx, runner) })
+		group.Go(func() error { return lovageroad.NewRunner(lovageroad.RunnerSettings{Listen: runner}).Run(ctx) })
 		group.Go(func() error { return lovageroad.NewAgent(values, agentKeys).Run(ctx) })
 	}
 	if err := createDevAccount(ctx, "http://"+string(public[0])); err != nil {
@@ -126,24 +125,6 @@
 	}
 }
 
-func serveFake(ctx context.Context, address settings.Address) error {
-	listener, err := net.Listen("tcp", string(address))
-	if err != nil {
-		return err
-	}
-	server := &http.Server{Handler: upstream.NewFake().Handler(), ReadHeaderTimeout: lovageroad.HeaderTimeout}
-	go func() {
-		<-ctx.Done()
-		if err := server.Close(); err != nil {
-			return
-		}
-	}()
-	if err := server.Serve(listener); ctx.Err() == nil {
-		return err
-	}
-	return nil
-}
-
 // devKeys returns keys in memory for gates and agents on loopback.
 func devKeys() (gates, agents lovageroad.Option, err error) {
 	now := time.Now()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,11 @@
 		Listen Address `ini:"listen" help:"address of the stand-in"`
 	}
 
+	// Runner holds the settings of the stand-in for a runner.
+	Runner struct {
+		Listen Address `ini:"listen" help:"address of the stand-in"`
+	}
+
 	// checker checks settings against each other.
 	checker interface {
 		check() *KeyError
