--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 		Authority         File               `ini:"authority" optional:"yes" help:"PEM file of the authorities that sign the processes' certificates"`
 		PublicCertificate File               `ini:"public-certificate" optional:"yes" help:"PEM file of the certificate for callers and operators"`
 		PublicKey         File               `ini:"public-key" optional:"yes" help:"PEM file of that certificate's key"`
+		Operators         Operators          `ini:"operators" optional:"yes" help:"names of operators, each with a colon and the SHA-256 sum of its token"`
 	}
 
 	// Agent holds the settings of the process beside an upstream.
@@ -186,6 +187,8 @@
 			}
 			*target = append(*target, a)
 		}
+	case *Operators:
+		return target.parse(text)
 	case *URL:
 		parsed, err := url.Parse(text)
 		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
