--- a/internal/account/directory.go
+++ b/internal/account/directory.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/pkg/revision"
 )
 
@@ -127,14 +128,30 @@
 	return names
 }
 
-// SameGuarantees reports whether all accounts have the same guarantees in
-// another directory.
-func (d *Directory) SameGuarantees(other *Directory) bool {
-	return slices.EqualFunc(d.guaranteed(), other.guaranteed(), func(x, y Account) bool {
-		return x.Name == y.Name && slices.Equal(x.Parameters.Guarantees, y.Parameters.Guarantees)
-	})
+// Raises reports whether another directory guarantees an account more of any
+// shape than this one.
+func (d *Directory) Raises(other *Directory) bool {
+	before := d.guaranteed()
+	for promise, count := range other.guaranteed() {
+		if count > before[promise] {
+			return true
+		}
+	}
+	return false
 }
 
-func (d *Directory) guaranteed() []Account {
-	return slices.DeleteFunc(d.Accounts(), func(a Account) bool { return len(a.Parameters.Guarantees) == 0 })
+// promise is a shape that an account is guaranteed.
+type promise struct {
+	account Name
+	shape   floor.Shape
+}
+
+func (d *Directory) guaranteed() map[promise]int {
+	counts := make(map[promise]int)
+	for _, a := range d.Accounts() {
+		for _, g := range a.Parameters.Guarantees {
+			counts[promise{account: a.Name, shape: g.Shape.Normal()}] += g.Count
+		}
+	}
+	return counts
 }
--- a/internal/gate/edit.go
+++ b/internal/gate/edit.go
@@ -135,7 +135,7 @@
 		return
 	}
 	e.next = current.With(e.change)
-	if e.event.DryRun || !current.SameGuarantees(e.next) {
+	if e.event.DryRun || current.Raises(e.next) {
 		x.ask(e)
 		return
 	}
--- a/internal/gate/guarantee.go
+++ b/internal/gate/guarantee.go
@@ -17,20 +17,28 @@
 	}
 }
 
-// checkGuarantees checks the guarantees as a change would make them. It returns false if
-// this gate does not lead, or does not hold the revision that the change follows.
+// checkGuarantees checks the guarantees as a change would make them. It returns
+// false if this gate cannot tell: it does not lead, it does not hold the revision
+// that the change follows, or workers that it does not know yet may hold them.
 func (d *directory) checkGuarantees(now time.Time, m wire.Check) (wire.Checked, bool) {
 	d.observe(now, m.Revision)
 	current, number, known := d.register.Get()
 	l := d.gate.leader
-	c, err := account.Decode(m.Row)
-	if l == nil || !l.ready || !known || number < m.Revision || err != nil {
+	c, malformed := account.Decode(m.Row)
+	if l == nil || !l.ready || !known || number < m.Revision || malformed != nil {
 		return wire.Checked{}, false
 	}
 	next := current.With(c)
+	var err error
+	if current.Raises(next) {
+		err = l.policy.CheckAccounts(next.Accounts())
+	}
+	if (err != nil || len(l.workers) == 0) && !l.floorKnown(now) {
+		return wire.Checked{}, false
+	}
 	return wire.Checked{
 		Number:   m.Number,
-		Refused:  refused(l.policy.CheckAccounts(next.Accounts())),
+		Refused:  refused(err),
 		Borrowed: l.borrowed(next),
 	}, true
 }
