--- a/internal/gate/operators_test.go
+++ b/internal/gate/operators_test.go
@@ -85,8 +85,10 @@
 		return number
 	case interface{ Revision() revision.Number }:
 		return m.Revision()
-	default:
+	case nil:
 		return 0
+	default:
+		panic(fmt.Sprintf("%T holds no revision", m))
 	}
 }
 
