--- a/gate.go
+++ b/gate.go
@@ -70,7 +70,7 @@
 	)
 	router := chi.NewRouter()
 	callers.Routes(router)
-	overview.Routes(router)
+	overview.Routes(router, operators.Authenticate)
 	operators.Routes(router)
 	router.Handle("/metrics", metrics.Handler())
 	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -18,6 +18,7 @@
 func gateFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "gate", Value: "http://127.0.0.1:7100", Usage: "base `URL` of a gate", Sources: cli.EnvVars("LOVAGEROAD_GATE")},
+		&cli.StringFlag{Name: "token", Usage: "`token` of the operator", Sources: cli.EnvVars("LOVAGEROAD_OPERATOR")},
 		&cli.StringFlag{Name: "output", Value: "text", Usage: "`form` of the output: text or json"},
 	}
 }
@@ -61,6 +62,7 @@
 	if err != nil {
 		return &UsageError{Reason: err.Error()}
 	}
+	request.Header.Set("Authorization", "Bearer "+c.String("token"))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return err
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -70,11 +70,15 @@
 	return &Server{exchange: loop.NewExchange[gate.RequestID, gate.Inspected](post)}
 }
 
-// Routes adds the routes of the console.
-func (s *Server) Routes(r chi.Router) {
-	r.Get("/v1/status", s.status)
-	r.Get("/v1/explanations/{id}", s.explain)
-	r.Get("/", s.page)
+// Routes adds the routes of the console, for those whom authenticate lets
+// through.
+func (s *Server) Routes(r chi.Router, authenticate func(http.Handler) http.Handler) {
+	r.Group(func(r chi.Router) {
+		r.Use(authenticate)
+		r.Get("/v1/status", s.status)
+		r.Get("/v1/explanations/{id}", s.explain)
+		r.Get("/", s.page)
+	})
 }
 
 // Handle passes a reply of the gate to the request that waits for it.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -69,7 +69,7 @@
 // Routes adds the routes for operators.
 func (s *Server) Routes(r chi.Router) {
 	r.Group(func(r chi.Router) {
-		r.Use(s.authenticate)
+		r.Use(s.Authenticate)
 		s.routes(r, account.KindTemplate, "/v1/templates")
 		s.routes(r, account.KindAccount, "/v1/accounts")
 		s.subjectRoutes(r, account.KindFloor, "/v1/floor")
@@ -100,20 +100,15 @@
 	}
 }
 
-// authenticate lets a request through whose token is an operator's, and takes
-// the operator for the author of its changes.
-func (s *Server) authenticate(next http.Handler) http.Handler {
+// Authenticate lets a request through whose token is an operator's, and takes
+// the operator for the author of its changes. A browser gives the token as the
+// password of basic authentication.
+func (s *Server) Authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		bearer, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		hash := account.HashToken(bearer)
-		author := ""
-		for _, o := range s.operators {
-			if subtle.ConstantTimeCompare([]byte(o.Hash), []byte(hash)) == 1 {
-				author = o.Name
-			}
-		}
+		author := s.operator(account.HashToken(tokenOf(r)))
 		if author == "" {
-			w.Header().Set("WWW-Authenticate", "Bearer")
+			w.Header().Add("WWW-Authenticate", "Bearer")
+			w.Header().Add("WWW-Authenticate", `Basic realm="lovageroad"`)
 			writeProblem(w, Problem{Status: http.StatusUnauthorized, Field: "Authorization", Detail: "the token is no operator's"})
 			return
 		}
@@ -121,6 +116,25 @@
 	})
 }
 
+// operator returns the name of the operator with a token, or nothing.
+func (s *Server) operator(hash account.TokenHash) string {
+	name := ""
+	for _, o := range s.operators {
+		if subtle.ConstantTimeCompare([]byte(o.Hash), []byte(hash)) == 1 {
+			name = o.Name
+		}
+	}
+	return name
+}
+
+func tokenOf(r *http.Request) string {
+	if _, password, ok := r.BasicAuth(); ok {
+		return password
+	}
+	bearer, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return bearer
+}
+
 func author(r *http.Request) string {
 	name, _ := r.Context().Value(authorKey{}).(string)
 	return name
