--- a/gate.go
+++ b/gate.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -56,11 +58,22 @@
 	callers := caller.New(post, store)
 	overview := console.New(post)
 	operators := operator.New(post, g.settings.Region, g.settings.Operators)
-	run = loop.New(self, gate.New(self, g.settings.Region, gate.WithGates(settings.Nodes(g.settings.Gates)...)),
+	core := gate.New(self, g.settings.Region,
+		gate.WithGates(settings.Nodes(g.settings.Gates)...),
+		gate.WithSeed(rand.Uint64()),
+		gate.WithLeaveTimeout(g.settings.Drain*2/3),
+	)
+	left := make(chan struct{})
+	var once sync.Once
+	run = loop.New(self, core,
 		loop.WithStore(store, store),
 		loop.WithSend(sender.Send),
 		loop.WithObserve(metrics.Store),
 		loop.WithHandle(func(effect machine.Effect) {
+			if _, ok := effect.(gate.Left); ok {
+				once.Do(func() { close(left) })
+				return
+			}
 			metrics.Observe(effect)
 			prom.Log(effect)
 			callers.Handle(effect)
@@ -90,12 +103,24 @@
 	run.Post(inner, gate.Start{})
 	klog.InfoS("gate serves", "listen", g.settings.Listen, "peer", g.settings.Peer, "region", g.settings.Region)
 	<-ctx.Done()
-	drain, cancel := context.WithTimeout(inner, g.settings.Drain)
+	g.leave(inner, post, public, left)
+	return nil
+}
+
+// leave hands the leadership over and answers what is open, and returns after
+// the longest time of a graceful shutdown at the latest.
+func (g *gateRole) leave(ctx context.Context, post poster, public *http.Server, left <-chan struct{}) {
+	drain, cancel := context.WithTimeout(ctx, g.settings.Drain)
 	defer cancel()
+	post(drain, gate.Leave{})
 	if err := public.Shutdown(drain); err != nil {
 		klog.InfoS("gate shut down with requests open", "reason", err)
 	}
-	return nil
+	select {
+	case <-left:
+	case <-drain.Done():
+		klog.InfoS("gate shut down before its leadership was handed over")
+	}
 }
 
 // publicConfig returns the TLS configuration for callers and operators, or nil
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -141,3 +141,9 @@
 		return 0
 	}
 }
+
+// Replay carries a store effect out once more, as when a message of a process
+// that was paused arrives late, and returns its error.
+func (s *Store) Replay(effect machine.Effect) error {
+	return loop.Carry(context.Background(), s.Memory, s.Memory, effect).Err
+}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -131,15 +131,12 @@
 	return table.Check{Key: e.guardKey(), Version: e.guard}
 }
 
-// Resign gives the lease up, if it is held, and stops campaigning for it.
+// Resign gives the lease up, if it is held, and stops campaigning for it. The
+// holder holds it until the table has the resignation, since until then nobody
+// else can take it.
 func (e *Elector) Resign(now time.Time) {
 	e.resigned = true
 	e.next = now
-	if !e.held {
-		return
-	}
-	e.held = false
-	e.config.Changed(e.lease, false)
 	e.Tick(now)
 }
 
@@ -310,7 +307,7 @@
 
 func (e *Elector) taken(current Lease, version, guard table.Version) {
 	before, held := e.lease, e.held
-	e.lease, e.version, e.guard, e.held = current, version, guard, !e.resigned
+	e.lease, e.version, e.guard, e.held = current, version, guard, held || !e.resigned
 	e.seen, e.silent = e.store.Now(), 0
 	if !held || before.Epoch != current.Epoch {
 		e.config.Changed(e.lease, e.held)
