--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -52,8 +52,9 @@
 	// same as a share of all accelerators, and WholeWorkers and WholeRacks how
 	// many are wholly free, as a share of the best possible packing; all are
 	// averages over the horizon. Lost is in accelerator time. Never counts jobs
-	// that did not end, Stopped non-idempotent jobs that were reclaimed, and
-	// Burnt jobs that bad workers failed for good.
+	// that did not end, Stopped non-idempotent jobs that were reclaimed, Burnt
+	// jobs that bad workers failed as often as a job may fail, and Spoilt
+	// non-idempotent jobs, which one failure ends.
 	Result struct {
 		Groups        map[Group]*Figures
 		All           Figures
@@ -66,6 +67,7 @@
 		Never         int
 		Stopped       int
 		Burnt         int
+		Spoilt        int
 		Declined      int
 		Reclaims      int
 		Lost          time.Duration
--- a/internal/bench/worker.go
+++ b/internal/bench/worker.go
@@ -59,7 +59,11 @@
 		r.end(e, Failed)
 		return
 	}
-	r.result.Burnt++
+	if e.Idempotent {
+		r.result.Burnt++
+	} else {
+		r.result.Spoilt++
+	}
 	r.resubmit(e)
 }
 
