--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -120,6 +120,7 @@
 		front     *front
 		directory *directory
 		inspector *inspector
+		observed  time.Time
 		leader    *leader
 		effects   []machine.Effect
 	}
@@ -209,6 +210,7 @@
 	g.directory.tick(now)
 	g.front.tick(now)
 	g.inspector.tick(now)
+	g.observeRegion(now)
 	if g.leader != nil {
 		g.leader.tick(now)
 	}
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -7,11 +7,15 @@
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
+	"github.com/lovageroad/lovageroad/internal/scheduler"
 	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
 const (
+	// ObserveInterval is the time between two observations of the region.
+	ObserveInterval = 15 * time.Second
+
 	// OtherClass stands for the classes that an account's parameters do not name.
 	OtherClass account.Class = "other"
 )
@@ -37,6 +41,12 @@
 	// Reason is why a request was refused, as a label of few values.
 	Reason string
 
+	// RegionObserved is an effect: the leader's state of the region, from time to
+	// time.
+	RegionObserved struct {
+		Overview scheduler.Overview
+	}
+
 	// LeadershipChanged is an effect: the region has another leader.
 	LeadershipChanged struct {
 		Leader machine.Node
@@ -83,6 +93,16 @@
 	WorkerLost Change = "lost"
 )
 
+// observeRegion reports the state of the region, if this gate leads it and it is
+// time.
+func (g *Gate) observeRegion(now time.Time) {
+	if g.leader == nil || !g.leader.ready || now.Before(g.observed.Add(ObserveInterval)) {
+		return
+	}
+	g.observed = now
+	g.emit(RegionObserved{Overview: g.leader.policy.Overview(now)})
+}
+
 // observeEnd reports the end of a job.
 func (g *Gate) observeEnd(record job.Record) {
 	g.emit(JobEnded{
--- a/internal/prom/prom.go
+++ b/internal/prom/prom.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/internal/scheduler"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
@@ -27,6 +28,10 @@
 	ended    *prometheus.CounterVec
 	refused  *prometheus.CounterVec
 	workers  *prometheus.CounterVec
+	waiting  *prometheus.GaugeVec
+	running  *prometheus.GaugeVec
+	risk     *prometheus.GaugeVec
+	fragment prometheus.Gauge
 	epoch    prometheus.Gauge
 	leading  prometheus.Gauge
 	*Process
@@ -52,6 +57,10 @@
 		ended:    factory.counter("jobs_ended_total", "Jobs that ended, by state.", []string{"account", "state"}),
 		refused:  factory.counter("requests_refused_total", "Requests refused, by reason.", []string{"reason"}),
 		workers:  factory.counter("worker_changes_total", "Workers that joined, left or were lost.", []string{"change"}),
+		waiting:  factory.gauges("jobs_waiting", "Jobs that wait, at the leader.", []string{"account"}),
+		running:  factory.gauges("jobs_running", "Jobs that run, at the leader.", []string{"account"}),
+		risk:     factory.gauges("guarantees_at_risk", "Guaranteed shapes that failed workers have broken, at the leader.", []string{"account"}),
+		fragment: factory.gauge("fragmentation", "Share of free accelerators that cannot serve the largest waiting shape, at the leader."),
 		epoch:    factory.gauge("lease_epoch", "Highest epoch of the region's lease seen."),
 		leading:  factory.gauge("lease_held", "One if this gate leads the region."),
 		Process:  newProcess(factory),
@@ -98,6 +107,8 @@
 	switch e := effect.(type) {
 	case gate.JobEnded:
 		g.observeEnd(e)
+	case gate.RegionObserved:
+		g.observeRegion(e.Overview)
 	case gate.JobRefused:
 		g.refused.WithLabelValues(string(e.Reason)).Inc()
 	case gate.WorkerChanged:
@@ -107,7 +118,24 @@
 		g.leading.Set(0)
 		if e.Held {
 			g.leading.Set(1)
+			return
 		}
+		g.observeRegion(scheduler.Overview{})
+	}
+}
+
+// observeRegion replaces the gauges of the region, so that accounts that have
+// gone leave none behind.
+func (g *Gate) observeRegion(overview scheduler.Overview) {
+	g.waiting.Reset()
+	g.running.Reset()
+	g.risk.Reset()
+	g.fragment.Set(overview.Fragmentation)
+	for _, q := range overview.Queues {
+		account := string(q.Account)
+		g.waiting.WithLabelValues(account).Set(float64(q.Waiting))
+		g.running.WithLabelValues(account).Set(float64(q.Running))
+		g.risk.WithLabelValues(account).Set(float64(q.AtRisk))
 	}
 }
 
@@ -161,6 +189,12 @@
 	return v
 }
 
+func (m maker) gauges(name, help string, labels []string) *prometheus.GaugeVec {
+	v := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	m.registry.MustRegister(v)
+	return v
+}
+
 func (m maker) gauge(name, help string) prometheus.Gauge {
 	v := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 	m.registry.MustRegister(v)
