--- a/internal/wire/gang.go
+++ b/internal/wire/gang.go
@@ -33,6 +33,6 @@
 )
 
 func init() {
-	Register[Beat](40)
-	Register[Halted](41)
+	Register[Beat](50)
+	Register[Halted](51)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,7 @@
 
 	entry struct {
 		kind   Kind
+		name   string
 		decode func([]byte) (any, error)
 	}
 )
@@ -54,9 +55,13 @@
 	return fmt.Sprintf("unknown message kind %d", e.Kind)
 }
 
-// Register adds a message type under a kind. It is called from init functions.
+// Register adds a message type under a kind. It is called from init functions,
+// and panics if the kind is taken.
 func Register[T any](kind Kind) {
-	e := entry{kind: kind, decode: func(data []byte) (any, error) {
+	if taken, ok := byKind[kind]; ok {
+		panic(fmt.Sprintf("kind %d is taken by %s", kind, taken.name))
+	}
+	e := entry{kind: kind, name: reflect.TypeFor[T]().Name(), decode: func(data []byte) (any, error) {
 		var body T
 		err := codec.Unmarshal(data, &body)
 		return body, err
