--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -35,6 +35,8 @@
 	return &cli.Command{
 		Name:  "lovageroad",
 		Usage: "schedule multi-accelerator jobs under client account guarantees",
+		Description: "Exit codes: 0 done; 1 failed; 2 the arguments, the settings or the request are wrong; 3 the job did not run; " +
+			"4 the job may have run, or the change may have been made; 5 another change came first.",
 		Commands: []*cli.Command{
 			newGate(),
 			newAgent(),
--- a/internal/gate/directory.go
+++ b/internal/gate/directory.go
@@ -2,17 +2,13 @@
 
 import (
 	"cmp"
-	"crypto/subtle"
 	"encoding/json"
-	"errors"
 	"slices"
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/floor"
-	"github.com/lovageroad/lovageroad/internal/job"
 	"github.com/lovageroad/lovageroad/internal/scheduler"
-	"github.com/lovageroad/lovageroad/internal/wire"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/revision"
 	"github.com/lovageroad/lovageroad/pkg/table"
@@ -47,6 +43,7 @@
 	agents   map[floor.WorkerID]heldRevision
 	spread   time.Time
 	editor   *editor
+	reported SettingsChanged
 }
 
 // head is the version of the head row at a revision.
@@ -71,6 +68,7 @@
 	d.gates.tick(now)
 	d.editor.tick(now)
 	d.spreadRevision(now)
+	d.report(now)
 }
 
 // poll reads the head, and what has changed if it has moved.
@@ -259,81 +257,6 @@
 	}
 }
 
-// fresh reports whether the settings may be applied to new work.
-func (d *directory) fresh(now time.Time) bool {
-	return d.register.Fresh(now, SettingsBound) || d.undisputed(now)
-}
-
-// undisputed reports whether no newer revision can have been accepted: the table
-// does not answer, and no gate that can be asked has more. A gate that can ask
-// none of the others cannot know that.
-func (d *directory) undisputed(now time.Time) bool {
-	return d.failing && d.register.Known() && !d.register.Behind() && d.gates.reachable(now)
-}
-
-// admits reports whether the leader may take new work from a gate that holds a
-// revision.
-func (d *directory) admits(now time.Time, number revision.Number) bool {
-	d.observe(now, number)
-	return number <= d.revision() && d.fresh(now)
-}
-
-// refuses replies to a submission that comes while the settings are not known to
-// be fresh. The refusal is made durable, so that a copy of the request at another
-// gate cannot run.
-func (d *directory) refuses(now time.Time, event machine.Event) bool {
-	e, ok := event.(Submit)
-	if !ok || d.fresh(now) {
-		return false
-	}
-	r := &request{
-		id:       e.Request,
-		job:      e.ID,
-		account:  e.Spec.Account,
-		submit:   &wire.Submit{ID: e.ID, Spec: e.Spec, Body: e.Body},
-		settling: true,
-		deadline: now,
-		wait:     e.Wait,
-	}
-	front := d.gate.front
-	front.requests[r.id] = r
-	record := refusal(now, *r.submit, "the settings are not known to be the newest")
-	txn, err := createRefused(d.gate.config.Region, record)
-	if err != nil {
-		front.reply(r, job.Record{}, err)
-		return true
-	}
-	d.gate.store.Commit(txn, func(result machine.Stored) {
-		var conflict *table.ConflictError
-		switch {
-		case result.Err == nil:
-			front.reply(r, record, nil)
-		case errors.As(result.Err, &conflict):
-			front.lookup(now, r)
-		default:
-			front.reply(r, job.Record{}, &UnavailableError{Reason: "neither the settings nor the job can be read now", Ran: job.MayHaveRun})
-		}
-	})
-	return true
-}
-
-// check returns an error unless the token is one of the account's.
-func (d *directory) check(name account.Name, token account.TokenHash) error {
-	if !d.register.Known() {
-		return &UnavailableError{Reason: "the accounts are not known yet", Ran: job.MayHaveRun}
-	}
-	a, ok := d.accounts[name]
-	if !ok {
-		return &DeniedError{Account: name}
-	}
-	for _, t := range a.Tokens {
-		if subtle.ConstantTimeCompare([]byte(t), []byte(token)) == 1 {
-			return nil
-		}
-	}
-	return &DeniedError{Account: name}
-}
-
 // AccountKey returns the row of an account in the table.
 func AccountKey(region floor.RegionID, name account.Name) table.Key {
 	return account.SubjectKey(region, account.Subject{Kind: account.KindAccount, Name: string(name)})
--- a/internal/gate/settings_test.go
+++ b/internal/gate/settings_test.go
@@ -13,6 +13,7 @@
 	"github.com/lovageroad/lovageroad/internal/job"
 	"github.com/lovageroad/lovageroad/internal/lab"
 	"github.com/lovageroad/lovageroad/internal/scheduler"
+	"github.com/lovageroad/lovageroad/internal/wire"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
@@ -294,3 +295,43 @@
 		t.Errorf("%d commits and %d reads for %d changes", commits, reads, changes)
 	}
 }
+
+// TestExchangeBytes counts what gates send each other about settings while
+// nothing changes in 240 accounts, against the budget of a node for all of its
+// control.
+func TestExchangeBytes(t *testing.T) {
+	const gates, budget = 6, 5000
+	const window = 100 * time.Second
+	o := newOperated(t, 1, gates, 0)
+	o.addAgents(680)
+	o.run(30 * time.Second)
+	for i := range 240 {
+		o.must(o.edit(o.Gates[0], gate.Edit{Create: true}, fmt.Sprint("account-", i), 1+i))
+	}
+	o.run(30 * time.Second)
+	sent := make(map[machine.Node]int)
+	o.Watch(func(trace lab.Trace) error {
+		for _, effect := range trace.Effects {
+			send, _ := effect.(machine.Send)
+			switch send.Body.(type) {
+			case wire.Revisions, wire.Changes:
+				data, err := wire.Encode(trace.Process.Node(), send.Body)
+				if err != nil {
+					return err
+				}
+				sent[trace.Process.Node()] += len(data)
+			}
+		}
+		return nil
+	})
+	o.run(window)
+	most := 0
+	for _, bytes := range sent {
+		most = max(most, bytes)
+	}
+	perSecond := most / int(window.Seconds())
+	t.Logf("%d gates: up to %d bytes a second from a gate", gates, perSecond)
+	if perSecond > budget || perSecond == 0 {
+		t.Errorf("%d bytes a second, the budget is %d", perSecond, budget)
+	}
+}
--- a/internal/operator/decode.go
+++ b/internal/operator/decode.go
@@ -12,6 +12,11 @@
 	"github.com/lovageroad/lovageroad/internal/account"
 )
 
+const (
+	// MaxDepth is the depth of a definition down to which a patch is merged.
+	MaxDepth = 4
+)
+
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBody))
 	var large *http.MaxBytesError
@@ -92,7 +97,7 @@
 	if !json.Valid(patch) || bytes.TrimSpace(patch)[0] != '{' {
 		return Definition{}, malformed("body", "must be a JSON object")
 	}
-	merged, err := merge(data, patch)
+	merged, err := merge(data, patch, MaxDepth)
 	if err != nil {
 		return Definition{}, malformed("body", err.Error())
 	}
@@ -100,9 +105,9 @@
 }
 
 // merge applies a JSON merge patch: null removes a field, an object is merged,
-// and anything else replaces.
-func merge(target, patch json.RawMessage) (json.RawMessage, error) {
-	if bytes.TrimSpace(patch)[0] != '{' {
+// and anything else replaces. What is nested deeper than the depth replaces too.
+func merge(target, patch json.RawMessage, depth int) (json.RawMessage, error) {
+	if bytes.TrimSpace(patch)[0] != '{' || depth == 0 {
 		return patch, nil
 	}
 	fields := make(map[string]json.RawMessage)
@@ -120,7 +125,7 @@
 			delete(fields, name)
 			continue
 		}
-		merged, err := merge(fields[name], change)
+		merged, err := merge(fields[name], change, depth-1)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -262,3 +262,23 @@
 		}
 	}
 }
+
+// FuzzChange sends any bytes as a definition and as a patch.
+func FuzzChange(f *testing.F) {
+	for _, seed := range []string{
+		``, `{}`, `null`, `[]`, `{"overrides":null}`, `{"template":5}`, `{"overrides":{"queue":null,"weights":{"completion":1e400}}}`,
+		`{"overrides":{"guarantees":[{}]}}`, `{"overrides":{"order":[{"a":{}}]}}`, strings.Repeat(`{"a":`, 5000) + "1" + strings.Repeat("}", 5000),
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		s := newSite(t)
+		var created, answer operator.Body
+		s.call(http.MethodPut, "/v1/accounts/parks", "", `{}`, &created)
+		for _, method := range []string{http.MethodPut, http.MethodPatch} {
+			if response := s.call(method, "/v1/accounts/parks", `"1"`, string(body), &answer); response.StatusCode >= http.StatusInternalServerError {
+				t.Errorf("%s: got %d", method, response.StatusCode)
+			}
+		}
+	})
+}
--- a/internal/prom/log.go
+++ b/internal/prom/log.go
@@ -12,6 +12,8 @@
 	switch e := effect.(type) {
 	case gate.LeadershipChanged:
 		klog.InfoS("leadership changed", "leader", e.Leader, "epoch", e.Epoch, "held", e.Held)
+	case gate.SettingsChanged:
+		klog.InfoS("settings changed", "revision", e.Revision, "fresh", e.Fresh)
 	case gate.WorkerChanged:
 		klog.InfoS("worker changed", "worker", e.Worker, "change", e.Change)
 	}
--- a/internal/prom/prom.go
+++ b/internal/prom/prom.go
@@ -29,6 +29,8 @@
 	workers  *prometheus.CounterVec
 	epoch    prometheus.Gauge
 	leading  prometheus.Gauge
+	revision prometheus.Gauge
+	fresh    prometheus.Gauge
 	*Process
 }
 
@@ -54,6 +56,8 @@
 		workers:  factory.counter("worker_changes_total", "Workers that joined, left or were lost.", []string{"change"}),
 		epoch:    factory.gauge("lease_epoch", "Highest epoch of the region's lease seen."),
 		leading:  factory.gauge("lease_held", "One if this gate leads the region."),
+		revision: factory.gauge("settings_revision", "Revision of the settings held."),
+		fresh:    factory.gauge("settings_fresh", "One if the settings may be applied to new work."),
 		Process:  newProcess(factory),
 	}
 }
@@ -102,6 +106,12 @@
 		g.refused.WithLabelValues(string(e.Reason)).Inc()
 	case gate.WorkerChanged:
 		g.workers.WithLabelValues(string(e.Change)).Inc()
+	case gate.SettingsChanged:
+		g.revision.Set(float64(e.Revision))
+		g.fresh.Set(0)
+		if e.Fresh {
+			g.fresh.Set(1)
+		}
 	case gate.LeadershipChanged:
 		g.epoch.Set(float64(e.Epoch))
 		g.leading.Set(0)
