--- a/internal/prom/prom.go
+++ b/internal/prom/prom.go
@@ -34,6 +34,8 @@
 	fragment prometheus.Gauge
 	epoch    prometheus.Gauge
 	leading  prometheus.Gauge
+	revision prometheus.Gauge
+	fresh    prometheus.Gauge
 	*Process
 }
 
@@ -63,6 +65,8 @@
 		fragment: factory.gauge("fragmentation", "Share of free accelerators that cannot serve the largest waiting shape, at the leader."),
 		epoch:    factory.gauge("lease_epoch", "Highest epoch of the region's lease seen."),
 		leading:  factory.gauge("lease_held", "One if this gate leads the region."),
+		revision: factory.gauge("settings_revision", "Revision of the settings held."),
+		fresh:    factory.gauge("settings_fresh", "One if the settings may be applied to new work."),
 		Process:  newProcess(factory),
 	}
 }
@@ -113,6 +117,12 @@
 		g.refused.WithLabelValues(string(e.Reason)).Inc()
 	case gate.WorkerChanged:
 		g.workers.WithLabelValues(string(e.Change)).Inc()
+	case gate.SettingsChanged:
+		g.revision.Set(float64(e.Revision))
+		g.fresh.Set(0)
+		if e.Fresh {
+			g.fresh.Set(1)
+		}
 	case gate.LeadershipChanged:
 		g.epoch.Set(float64(e.Epoch))
 		g.leading.Set(0)
