Reclaim for jobs that waited long, and keep cells warm for urgent work

A reserved job takes the place of smaller ones that can run again once its wait has cost four times what they lose. Urgent work lost checkpoints (its grace is too short to save), so two free cells of each account with urgent work are not lent, nor is a twentieth of a cooling budget.

--- a/internal/scheduler/borrow.go
+++ b/internal/scheduler/borrow.go
@@ -2,6 +2,12 @@
 
 import "slices"
 
+const (
+	// warmCells is the number of free cells of an account with urgent work that
+	// are not lent.
+	warmCells = 2
+)
+
 // startUrgent starts urgent work that no guarantee covers, on a free place or on
 // one that borrowers leave.
 func (p *policy) startUrgent() {
@@ -28,6 +34,7 @@
 
 // startBorrowed starts waiting jobs on places that are free.
 func (p *policy) startBorrowed() {
+	p.keepWarm()
 	p.startHeads()
 	for {
 		l := p.pick()
@@ -40,6 +47,46 @@
 	}
 }
 
+// keepWarm keeps some free cells of accounts with urgent work from being lent,
+// so that it starts without a reclaim.
+func (p *policy) keepWarm() {
+	for _, w := range p.warm {
+		w.warm, w.warmSum = 0, amount{}
+	}
+	p.warm = p.warm[:0]
+	for _, t := range p.tenants {
+		if len(t.parameters.Urgent) == 0 {
+			continue
+		}
+		left := warmCells
+		for _, c := range t.cells {
+			if left > 0 && len(c.tasks) == 0 && c.idle() {
+				left--
+				p.warmUp(c)
+			}
+		}
+	}
+}
+
+func (p *policy) warmUp(c *cell) {
+	for i := range c.seats {
+		s := c.seats[i].share
+		s.worker.warm |= s.mask
+		s.worker.warmSum = s.worker.warmSum.plus(s.amount)
+		p.warm = append(p.warm, s.worker)
+	}
+}
+
+// idle reports whether nothing runs where the cell stands.
+func (c *cell) idle() bool {
+	for i := range c.seats {
+		if s := c.seats[i].share; s.worker == nil || !s.clear() || s.worker.held&s.mask != 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // pick returns the lane that goes first of those that may have a place: within
 // an account by the order of classes, among accounts by what they hold.
 func (p *policy) pick() *lane {
--- a/internal/scheduler/cooling.go
+++ b/internal/scheduler/cooling.go
@@ -11,6 +11,10 @@
 	// calmPart is the part of a budget, in percent, below which slowed jobs run
 	// at full speed again.
 	calmPart = 90
+
+	// lendMargin is the part of a budget, one in so many, that is not lent, so
+	// that short guaranteed work starts without a reclaim.
+	lendMargin = 20
 )
 
 // budget is a cooling limit with what counts against it: what is set aside for
@@ -75,8 +79,14 @@
 				return false
 			}
 			used += b.running + b.held
+			if !q.urgent() {
+				used += b.limit / lendMargin
+			}
 		case viewReclaim:
 			used += b.held
+			if !q.urgent() {
+				used += b.running
+			}
 		case viewUnbound, viewFirm:
 			used += b.aside
 		}
@@ -87,6 +97,11 @@
 	return true
 }
 
+// urgent reports whether the query is for urgent work.
+func (q *query) urgent() bool {
+	return q.task != nil && q.task.urgent
+}
+
 // affordable reports whether the cooling of all shares is left for a borrower.
 func affordable(shares []share) bool {
 	fits := true
@@ -236,7 +251,7 @@
 			if t.state != stateRunning || t.cell != nil || !wanted(t.task) {
 				continue
 			}
-			if price := p.weigh(t.task); price < lowest && b.drawn(t.task) > 0 {
+			if price := p.weigh(t.task, p.config.Grace); price < lowest && b.drawn(t.task) > 0 {
 				best, lowest = t.task, price
 			}
 		}
--- a/internal/scheduler/head.go
+++ b/internal/scheduler/head.go
@@ -8,6 +8,14 @@
 const (
 	// headReview is the time between two searches for a better reservation.
 	headReview = time.Minute
+
+	// pressEvery is the time between two looks at what a reclaim for a
+	// reservation would cost.
+	pressEvery = 15 * time.Second
+
+	// pressPart is how many times the loss the wait must have cost, in
+	// accelerator time.
+	pressPart = 4
 )
 
 type (
@@ -18,6 +26,7 @@
 		shares []share
 		at     time.Time
 		due    time.Time
+		press  time.Time
 	}
 
 	vacancy struct {
@@ -61,6 +70,7 @@
 			p.release(h)
 		}
 	}
+	p.pressHeads()
 	for len(p.heads) < p.config.Heads {
 		t := p.oldest()
 		if t == nil || !p.reserve(t) {
@@ -69,6 +79,32 @@
 	}
 }
 
+// pressHeads reclaims places for the jobs that waited longest, once what is lost
+// is small against what the wait has cost.
+func (p *policy) pressHeads() {
+	for _, h := range slices.Clone(p.heads) {
+		if p.now.Before(h.press) || p.recovering() {
+			continue
+		}
+		h.press = p.now.Add(pressEvery)
+		t := h.task
+		shares := p.place(t, viewReclaim)
+		if shares == nil {
+			continue
+		}
+		loss := 0
+		for _, s := range shares {
+			loss += p.loss(t, s, false)
+		}
+		worth := int(p.now.Sub(t.queued)/lossUnit) * t.members()
+		if loss*pressPart > worth {
+			continue
+		}
+		t.shares = shares
+		p.settle(t, p.config.Grace)
+	}
+}
+
 func (h *head) sound() bool {
 	return h.task.state == stateWaiting &&
 		!slices.ContainsFunc(h.shares, func(s share) bool { return !s.worker.usable() || s.worker.held&s.mask != 0 })
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -65,6 +65,7 @@
 		leaving  []*task
 		backoff  []*task
 		heads    []*head
+		warm     []*worker
 		arrivals uint64
 
 		// freed counts what may let a waiting job start, changes what may let an
@@ -207,6 +208,7 @@
 	}
 	for _, h := range p.heads {
 		sooner(h.due)
+		sooner(h.press)
 	}
 	for _, w := range p.floor.suspects {
 		sooner(w.until)
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -159,6 +159,7 @@
 // enqueue makes a task wait at its place in the order.
 func (p *policy) enqueue(t *task) {
 	t.state = stateWaiting
+	t.queued = p.now
 	l := p.lane(t)
 	t.lane = l
 	t.tenant.waiting++
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -14,6 +14,9 @@
 
 	lossUnit = time.Minute
 
+	// checkpointTime is the grace below which no checkpoint is counted on.
+	checkpointTime = 15 * time.Second
+
 	// stopAllowance is the time after the grace in which a job that was told to
 	// stop must be off its place. It is told again, without grace, after that.
 	stopAllowance = 5 * time.Second
@@ -40,7 +43,7 @@
 }
 
 // weigh is the work in minutes of an accelerator that is lost if a task leaves.
-func (p *policy) weigh(t *task) int {
+func (p *policy) weigh(t *task, grace time.Duration) int {
 	switch {
 	case t.cell != nil:
 		return forbidden
@@ -52,7 +55,7 @@
 		return unanswered + t.members()
 	}
 	lost := 1 + int(p.now.Sub(t.started)/lossUnit)
-	if t.Checkpoint {
+	if t.Checkpoint && grace >= checkpointTime {
 		lost = 1 + min(lost, 2)
 	}
 	return lost * t.members()
@@ -110,7 +113,11 @@
 	case t != nil && !t.urgent && (!victim.Idempotent || victim.members() >= t.members()):
 		return forbidden
 	}
-	return p.weigh(victim)
+	grace := p.config.Grace
+	if t != nil && t.urgent {
+		grace = p.config.UrgentGrace
+	}
+	return p.weigh(victim, grace)
 }
 
 // cheapest returns the task on a worker whose leaving costs the least.
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -236,6 +236,9 @@
 		return w.inUse()
 	default:
 		busy, used := w.busy|w.held, w.busyAmount.plus(w.heldAmount)
+		if w.warmSum.slots > 0 && !q.urgent() {
+			busy, used = busy|w.warm, used.plus(w.warmSum)
+		}
 		if w.head != nil && w.head != q.head && !q.until.IsZero() && q.until.After(w.head.at) {
 			return busy | w.kept, used.plus(w.keptSum)
 		}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -34,6 +34,7 @@
 		shares    []share
 		cell      *cell
 		seats     []int
+		queued    time.Time
 		started   time.Time
 		deadline  time.Time
 		progress  time.Duration
@@ -173,8 +174,10 @@
 		free = free && s.clear()
 	}
 	if !t.cooled() {
-		p.clearCooling(t, grace)
 		free = false
+		if t.cell != nil || t.urgent {
+			p.clearCooling(t, grace)
+		}
 	}
 	if free {
 		p.start(t)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -33,6 +33,8 @@
 		pending []part
 		cells   []*cell
 		head    *head
+		warm    floor.Accelerators
+		warmSum amount
 		kept    floor.Accelerators
 		keptSum amount
 		rack    *domain
