Press for wide or old jobs only, and reserve for two

Reservations for four jobs held capacity back, and presses for jobs of two or four accelerators pushed out as many as they helped. Now two reservations (the second for a job that waited two hours), presses for gangs and old jobs, and reservations away from others' guarantees.

--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -162,7 +162,7 @@
 	for i := range c.seats {
 		s, ok := p.carveSeat(t, &c.seats[i], needed)
 		if ok {
-			p.candidates = append(p.candidates, candidate{share: s, seat: i, cost: p.loss(t, s, true)})
+			p.candidates = append(p.candidates, candidate{share: s, seat: i, cost: p.loss(t, s, true) + s.kept()})
 		}
 	}
 	if len(p.candidates) < t.Shape.Workers {
@@ -177,6 +177,14 @@
 	return o, o.loss < forbidden
 }
 
+// kept is what it costs to take what is reserved.
+func (s share) kept() int {
+	if s.mask&s.worker.kept != 0 {
+		return 1
+	}
+	return 0
+}
+
 // hasRoom reports whether enough seats have accelerators left for a task.
 func (c *cell) hasRoom(t *task) bool {
 	open := 0
--- a/internal/scheduler/head.go
+++ b/internal/scheduler/head.go
@@ -1,21 +1,20 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"github.com/lovageroad/lovageroad/internal/floor"
 )
 
 const (
 	// headReview is the time between two searches for a better reservation.
 	headReview = time.Minute
 
-	// pressEvery is the time between two looks at what a reclaim for a
-	// reservation would cost.
-	pressEvery = 15 * time.Second
-
-	// pressPart is how many times the loss the wait must have cost, in
-	// accelerator time.
-	pressPart = 4
+	// riskOfCell is the later start that a reservation is worth which stands on
+	// one guarantee of another account less.
+	riskOfCell = 10 * time.Minute
 )
 
 type (
@@ -26,12 +25,12 @@
 		shares []share
 		at     time.Time
 		due    time.Time
-		press  time.Time
 	}
 
 	vacancy struct {
 		share share
 		at    time.Time
+		risk  time.Duration
 	}
 )
 
@@ -70,41 +69,14 @@
 			p.release(h)
 		}
 	}
-	p.pressHeads()
 	for len(p.heads) < p.config.Heads {
 		t := p.oldest()
-		if t == nil || !p.reserve(t) {
+		if t == nil || len(p.heads) > 0 && !p.aged(t) || !p.reserve(t) {
 			return
 		}
 	}
 }
 
-// pressHeads reclaims places for the jobs that waited longest, once what is lost
-// is small against what the wait has cost.
-func (p *policy) pressHeads() {
-	for _, h := range slices.Clone(p.heads) {
-		if p.now.Before(h.press) || p.recovering() {
-			continue
-		}
-		h.press = p.now.Add(pressEvery)
-		t := h.task
-		shares := p.place(t, viewReclaim)
-		if shares == nil {
-			continue
-		}
-		loss := 0
-		for _, s := range shares {
-			loss += p.loss(t, s, false)
-		}
-		worth := int(p.now.Sub(t.queued)/lossUnit) * t.members()
-		if loss*pressPart > worth {
-			continue
-		}
-		t.shares = shares
-		p.settle(t, p.config.Grace)
-	}
-}
-
 func (h *head) sound() bool {
 	return h.task.state == stateWaiting &&
 		!slices.ContainsFunc(h.shares, func(s share) bool { return !s.worker.usable() || s.worker.held&s.mask != 0 })
@@ -240,7 +212,9 @@
 		if len(p.vacancies) < t.Shape.Workers {
 			continue
 		}
-		slices.SortStableFunc(p.vacancies, func(x, y vacancy) int { return x.at.Compare(y.at) })
+		slices.SortStableFunc(p.vacancies, func(x, y vacancy) int {
+			return cmp.Or(x.at.Add(x.risk).Compare(y.at.Add(y.risk)), x.at.Compare(y.at))
+		})
 		last := p.vacancies[t.Shape.Workers-1].at
 		if best != nil && !last.Before(at) {
 			continue
@@ -271,7 +245,7 @@
 	for i := 0; ; i++ {
 		mask, _, ok := group(busy, w.Accelerators, n.accelerators)
 		if ok && used.plus(n.amount).within(w.capacity()) {
-			return vacancy{share: share{worker: w, mask: mask, amount: n.amount}, at: at}, true
+			return vacancy{share: share{worker: w, mask: mask, amount: n.amount}, at: at, risk: p.risk(t, w, mask)}, true
 		}
 		if i == len(p.ending) {
 			return vacancy{}, false
@@ -280,3 +254,15 @@
 		busy, used = busy&^p.ending[i].mask, used.minus(p.ending[i].amount)
 	}
 }
+
+// risk weighs that other accounts may claim what they are guaranteed on a
+// reserved place.
+func (p *policy) risk(t *task, w *worker, mask floor.Accelerators) time.Duration {
+	risk := time.Duration(0)
+	for _, c := range w.cells {
+		if c.tenant != t.tenant && c.maskOn(w)&mask != 0 {
+			risk += riskOfCell
+		}
+	}
+	return risk
+}
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -18,7 +18,7 @@
 	DefaultUrgentGrace = 500 * time.Millisecond
 
 	// DefaultHeads is the number of waiting jobs that hold a reservation.
-	DefaultHeads = 4
+	DefaultHeads = 2
 
 	// DefaultExpected is the run time of a job that declares none.
 	DefaultExpected = time.Hour
@@ -66,6 +66,8 @@
 		backoff  []*task
 		heads    []*head
 		warm     []*worker
+		pressing []*lane
+		pressDue time.Time
 		arrivals uint64
 
 		// freed counts what may let a waiting job start, changes what may let an
@@ -145,6 +147,7 @@
 	p.startUrgent()
 	p.startBorrowed()
 	p.reserveHeads()
+	p.press()
 	p.decided = p.changes
 	p.wake = p.nextWake()
 	return p.decisions
@@ -208,7 +211,6 @@
 	}
 	for _, h := range p.heads {
 		sooner(h.due)
-		sooner(h.press)
 	}
 	for _, w := range p.floor.suspects {
 		sooner(w.until)
@@ -216,6 +218,9 @@
 	for _, b := range p.floor.budgets {
 		sooner(b.due)
 	}
+	if len(p.classes) > 0 {
+		sooner(p.pressDue)
+	}
 	if p.recovering() {
 		sooner(p.began.Add(p.config.FloorWait))
 	}
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -290,13 +290,19 @@
 		cost += q.pack
 	}
 	if q.firm() {
+		if s.mask&w.kept != 0 {
+			cost += 4 * q.pack
+		}
 		return cost
 	}
 	if w.idle() {
-		cost += 2 * q.pack
+		cost += 8 * q.pack
 	}
 	if w.rack.running == 0 {
-		cost += q.pack
+		cost += 4 * q.pack
+	}
+	if q.task != nil && !q.task.Idempotent && w.fixed == 0 {
+		cost += 64 * q.pack
 	}
 	if s.mask&w.bound != 0 {
 		cost += 2 * q.keep
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -33,6 +33,7 @@
 		pending []part
 		cells   []*cell
 		head    *head
+		fixed   int
 		warm    floor.Accelerators
 		warmSum amount
 		kept    floor.Accelerators
@@ -181,6 +182,7 @@
 	s.load(1)
 	s.worker.tasks = append(s.worker.tasks, s.of(t))
 	s.worker.count(1)
+	s.worker.fix(t, 1)
 }
 
 func (s share) vacate(t *task) {
@@ -189,6 +191,7 @@
 	s.load(-1)
 	s.worker.tasks = without(s.worker.tasks, s.of(t))
 	s.worker.count(-1)
+	s.worker.fix(t, -1)
 }
 
 func (s share) hold(t *task) {
@@ -197,6 +200,7 @@
 	s.worker.pending = append(s.worker.pending, s.of(t))
 	s.worker.count(1)
 	s.keep(1)
+	s.worker.fix(t, 1)
 }
 
 func (s share) unhold(t *task) {
@@ -205,6 +209,14 @@
 	s.worker.pending = without(s.worker.pending, s.of(t))
 	s.worker.count(-1)
 	s.keep(-1)
+	s.worker.fix(t, -1)
+}
+
+// fix counts a job that cannot run again, and is left alone where possible.
+func (w *worker) fix(t *task, n int) {
+	if !t.Idempotent {
+		w.fixed += n
+	}
 }
 
 // clear reports whether nothing runs any more where the share is.
