--- a/internal/scheduler/head.go
+++ b/internal/scheduler/head.go
@@ -1,13 +1,20 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
+
+	"github.com/lovageroad/lovageroad/internal/floor"
 )
 
 const (
 	// headReview is the time between two searches for a better reservation.
 	headReview = time.Minute
+
+	// riskOfCell is the later start that a reservation is worth which stands on
+	// one guarantee of another account less.
+	riskOfCell = 10 * time.Minute
 )
 
 type (
@@ -23,6 +30,7 @@
 	vacancy struct {
 		share share
 		at    time.Time
+		risk  time.Duration
 	}
 )
 
@@ -63,7 +71,7 @@
 	}
 	for len(p.heads) < p.config.Heads {
 		t := p.oldest()
-		if t == nil || !p.reserve(t) {
+		if t == nil || len(p.heads) > 0 && !p.aged(t) || !p.reserve(t) {
 			return
 		}
 	}
@@ -204,7 +212,9 @@
 		if len(p.vacancies) < t.Shape.Workers {
 			continue
 		}
-		slices.SortStableFunc(p.vacancies, func(x, y vacancy) int { return x.at.Compare(y.at) })
+		slices.SortStableFunc(p.vacancies, func(x, y vacancy) int {
+			return cmp.Or(x.at.Add(x.risk).Compare(y.at.Add(y.risk)), x.at.Compare(y.at))
+		})
 		last := p.vacancies[t.Shape.Workers-1].at
 		if best != nil && !last.Before(at) {
 			continue
@@ -235,7 +245,7 @@
 	for i := 0; ; i++ {
 		mask, _, ok := group(busy, w.Accelerators, n.accelerators)
 		if ok && used.plus(n.amount).within(w.capacity()) {
-			return vacancy{share: share{worker: w, mask: mask, amount: n.amount}, at: at}, true
+			return vacancy{share: share{worker: w, mask: mask, amount: n.amount}, at: at, risk: p.risk(t, w, mask)}, true
 		}
 		if i == len(p.ending) {
 			return vacancy{}, false
@@ -244,3 +254,15 @@
 		busy, used = busy&^p.ending[i].mask, used.minus(p.ending[i].amount)
 	}
 }
+
+// risk weighs that other accounts may claim what they are guaranteed on a
+// reserved place.
+func (p *policy) risk(t *task, w *worker, mask floor.Accelerators) time.Duration {
+	risk := time.Duration(0)
+	for _, c := range w.cells {
+		if c.tenant != t.tenant && c.maskOn(w)&mask != 0 {
+			risk += riskOfCell
+		}
+	}
+	return risk
+}
