--- a/internal/gate/inspect.go
+++ b/internal/gate/inspect.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/job"
@@ -53,7 +55,8 @@
 // tick asks the leader again, and gives up at the deadline.
 func (i *inspector) tick(now time.Time) {
 	leader, _ := i.gate.elector.Lease()
-	for id, open := range i.open {
+	for _, id := range slices.Sorted(maps.Keys(i.open)) {
+		open := i.open[id]
 		switch {
 		case !now.Before(open.deadline):
 			delete(i.open, id)
