--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +54,7 @@
 	peers    []string
 	gate     []*exec.Cmd
 	agents   []*exec.Cmd
+	texts    []string
 	runners  []*upstream.Fake
 }
 
@@ -82,10 +84,11 @@
 	server := httptest.NewServer(fake.Handler())
 	c.t.Cleanup(server.Close)
 	c.runners = append(c.runners, fake)
-	c.agents = append(c.agents, c.run("agent", fmt.Sprintf(
+	c.texts = append(c.texts, fmt.Sprintf(
 		"[agent]\npeer = %s\nregion = %s\ndatacentre = dc-1\nrack = rack-1\nworker = worker-%d\naccelerators = 8\n"+
 			"cores = 32\nmemory = 64GiB\ngates = %s\nupstream = %s\nplatform = http://%s\n",
-		free(c.t), region, i, strings.Join(c.peers, ","), server.URL, c.platform)))
+		free(c.t), region, i, strings.Join(c.peers, ","), server.URL, c.platform))
+	c.agents = append(c.agents, c.run("agent", c.texts[i]))
 }
 
 func (c *cluster) run(role, text string) *exec.Cmd {
@@ -185,12 +188,16 @@
 	return total
 }
 
-// free returns an address on which nothing listens. Each test process has a
-// loopback address of its own, so that no other process takes the port between
-// now and its use.
+// addresses counts the addresses that were given out.
+var addresses atomic.Uint32
+
+// free returns an address on which nothing listens. Each test process has
+// loopback addresses of its own and gives none out twice, so that nobody takes
+// the port between now and its use.
 func free(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()>>8%250, os.Getpid()%256))
+	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8%250, os.Getpid()%256, addresses.Add(1)%250+1)
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/peer/bytes_test.go
@@ -0,0 +1,156 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/floor"
+	"github.com/lovageroad/lovageroad/internal/job"
+	"github.com/lovageroad/lovageroad/internal/peer"
+	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/gang"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+const (
+	// segmentHeader is the size of the headers of IPv4 and TCP with time stamps.
+	segmentHeader = 52
+
+	// datagramHeader is the size of the headers of IPv4 and UDP.
+	datagramHeader = 28
+
+	// acknowledgements is the number of TCP segments without data for each call.
+	acknowledgements = 1
+
+	// nodeBudget is the bytes per second that a node spends at most for control.
+	nodeBudget = 5000
+
+	messages = 100
+)
+
+// counter counts the bytes and the segments of a connection in both directions.
+type counter struct {
+	net.Conn
+	bytes    *atomic.Int64
+	segments *atomic.Int64
+}
+
+func (c counter) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.count(n)
+	return n, err
+}
+
+func (c counter) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.count(n)
+	return n, err
+}
+
+func (c counter) count(n int) {
+	if n > 0 {
+		c.bytes.Add(int64(n))
+		c.segments.Add(1)
+	}
+}
+
+// measure returns the bytes of one message over a connection that is up, with
+// all headers and both directions.
+func measure(t *testing.T, secure, http2 bool, body any) int {
+	t.Helper()
+	received := make(chan machine.Message)
+	path, handler := peer.NewHandler(func(m machine.Message) { received <- m })
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		r.TLS = nil
+		handler.ServeHTTP(w, r)
+	})
+	server := httptest.NewUnstartedServer(mux)
+	server.EnableHTTP2 = http2
+	scheme := "http"
+	if secure {
+		scheme = "https"
+		server.StartTLS()
+	} else {
+		server.Start()
+	}
+	defer server.Close()
+	var bytes, segments atomic.Int64
+	client := server.Client()
+	transport, ok := client.Transport.(*http.Transport)
+	if !ok {
+		t.Fatalf("transport is %T", client.Transport)
+	}
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return counter{Conn: conn, bytes: &bytes, segments: &segments}, err
+	}
+	sender := peer.NewSender(t.Context(), "10.0.0.7:7100", scheme, client, func(string) {})
+	to := machine.Node(server.Listener.Addr().String())
+	send := func(count int) int {
+		begun, before := bytes.Load(), segments.Load()
+		for range count {
+			sender.Send(to, body)
+			<-received
+		}
+		return int(bytes.Load()-begun) + segmentHeader*(int(segments.Load()-before)+acknowledgements*count)
+	}
+	send(messages)
+	return send(messages) / messages
+}
+
+func datagram(t *testing.T, body any) int {
+	t.Helper()
+	data, err := wire.Encode("10.0.0.7:7100", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(data) + datagramHeader
+}
+
+func beat(pulses int) wire.Beat {
+	var beat wire.Beat
+	for range pulses {
+		id := wire.TaskID{Job: job.NewID("account", "key"), Attempt: 1, Rank: 3, Epoch: 12}
+		beat.Pulses = append(beat.Pulses, wire.Pulse{Task: id, From: 4, State: gang.Running})
+	}
+	return beat
+}
+
+// TestBytes prints what a message costs on the wire for each way to send it. An
+// agent that announces itself, and beats for 19 members of gangs to two
+// neighbours that beat back, stays within its budget by calls over TLS.
+func TestBytes(t *testing.T) {
+	worker := floor.Worker{
+		ID: "worker-0123", Rack: "rack-12", DataCentre: "dc-3", Region: "vidzeme",
+		Accelerators: 8, Cores: 130, Memory: 500 << 10, Slots: 8, Cooling: 2400,
+	}
+	bodies := []struct {
+		name string
+		body any
+		sent int
+	}{
+		{"announce", wire.Announce{Worker: worker, Incarnation: 1 << 60, Epoch: 12, Revision: 40000, Draw: 900}, 1},
+		{"heartbeat", wire.Heartbeat{Incarnation: 1 << 60, Epoch: 12, Revision: 40000, Draw: 900}, 0},
+		{"redirect", wire.Redirect{Leader: "10.0.0.1:7100", Epoch: 12}, 1},
+		{"beat of 1", beat(1), 0},
+		{"beat of 19", beat(19), 4},
+	}
+	spent := 0
+	for _, b := range bodies {
+		plain := measure(t, false, false, b.body)
+		secure := measure(t, true, false, b.body)
+		second := measure(t, true, true, b.body)
+		spent += b.sent * secure
+		t.Logf("%-10s datagram %5d, call by HTTP/1.1 %5d, by TLS %5d, by TLS and HTTP/2 %5d bytes",
+			b.name, datagram(t, b.body), plain, secure, second)
+	}
+	if budget := nodeBudget * int(gang.DefaultInterval/time.Second); spent > budget {
+		t.Errorf("an agent spends %d bytes in an interval, want at most %d", spent, budget)
+	}
+}
