--- a/internal/agent/tasks.go
+++ b/internal/agent/tasks.go
@@ -17,6 +17,7 @@
 		id      wire.TaskID
 		share   floor.Share
 		spec    job.Spec
+		body    job.Digest
 		peers   []machine.Node
 		member  *gang.Member[machine.Node]
 		phase   wire.Phase
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -236,6 +236,9 @@
 		return w.inUse()
 	default:
 		busy, used := w.busy|w.held, w.busyAmount.plus(w.heldAmount)
+		if w.warmSum.slots > 0 && !q.urgent() {
+			busy, used = busy|w.warm, used.plus(w.warmSum)
+		}
 		if w.head != nil && w.head != q.head && !q.until.IsZero() && q.until.After(w.head.at) {
 			return busy | w.kept, used.plus(w.keptSum)
 		}
@@ -287,13 +290,19 @@
 		cost += q.pack
 	}
 	if q.firm() {
+		if s.mask&w.kept != 0 {
+			cost += 4 * q.pack
+		}
 		return cost
 	}
 	if w.idle() {
-		cost += 2 * q.pack
+		cost += 8 * q.pack
 	}
 	if w.rack.running == 0 {
-		cost += q.pack
+		cost += 4 * q.pack
+	}
+	if q.task != nil && !q.task.Idempotent && w.fixed == 0 {
+		cost += 64 * q.pack
 	}
 	if s.mask&w.bound != 0 {
 		cost += 2 * q.keep
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -109,6 +109,7 @@
 		Share floor.Share    `cbor:"3,keyasint"`
 		Spec  job.Spec       `cbor:"4,keyasint"`
 		Peers []machine.Node `cbor:"5,keyasint,omitempty"`
+		Body  job.Digest     `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Reserved answers a Reserve.
@@ -169,12 +170,24 @@
 		Task  TaskID `cbor:"2,keyasint"`
 	}
 
-	// Submit hands a job to the leader of its region.
+	// Submit hands a job to the leader of its region. Patience is the time that
+	// is left until the gate refuses the job if it was not accepted. Wait says
+	// that a caller waits for the end. Volatile permits a start without a durable
+	// record: the gate will not refuse the job any more.
 	Submit struct {
-		ID       job.ID     `cbor:"1,keyasint"`
-		Spec     job.Spec   `cbor:"2,keyasint"`
-		Body     job.Digest `cbor:"3,keyasint"`
-		Revision Revision   `cbor:"4,keyasint"`
+		ID       job.ID        `cbor:"1,keyasint"`
+		Spec     job.Spec      `cbor:"2,keyasint"`
+		Body     job.Digest    `cbor:"3,keyasint"`
+		Revision Revision      `cbor:"4,keyasint"`
+		Patience time.Duration `cbor:"5,keyasint,omitempty"`
+		Wait     bool          `cbor:"6,keyasint,omitempty"`
+		Volatile bool          `cbor:"7,keyasint,omitempty"`
+	}
+
+	// Pending tells a gate that a job cannot be made durable now, and asks it for
+	// a Submit that permits a start without.
+	Pending struct {
+		ID job.ID `cbor:"1,keyasint"`
 	}
 
 	// Watch asks the leader to send the state of jobs when they end.
@@ -183,10 +196,12 @@
 	}
 
 	// Status tells a gate the state of a job. Known is false if the leader has no
-	// live job of that identity.
+	// live job of that identity. Volatile is true if the record is not durable
+	// yet.
 	Status struct {
-		Known  bool       `cbor:"1,keyasint"`
-		Record job.Record `cbor:"2,keyasint"`
+		Known    bool       `cbor:"1,keyasint"`
+		Record   job.Record `cbor:"2,keyasint"`
+		Volatile bool       `cbor:"3,keyasint,omitempty"`
 	}
 
 	// Cancel asks the leader to cancel a job.
@@ -214,4 +229,5 @@
 	Register[Status](15)
 	Register[Cancel](16)
 	Register[Throttle](17)
+	Register[Pending](18)
 }
