Keep large cells whole by guests, and cut what a decision costs

A second job of one worker took the 3x8 cell apart for hours when no place was free; it takes borrowers' places on the cell's strength now. Cooling for a guarantee is cleared again while it waits.

--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -137,6 +137,9 @@
 		for _, k := range slices.Clone(c.tasks) {
 			p.eject(k)
 		}
+		if c.guest != nil {
+			c.guest.part()
+		}
 		c.unbindAll()
 		p.cells = without(p.cells, c)
 	}
--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -149,15 +149,21 @@
 // adopt lets the account's borrowers run as guaranteed where a cell that is not
 // taken can stand over their place.
 func (p *policy) adopt(t *tenant) {
-	if len(t.cells) == 0 {
+	p.open = p.open[:0]
+	for _, c := range t.cells {
+		if c.open() {
+			p.open = append(p.open, c)
+		}
+	}
+	if len(p.open) == 0 {
 		return
 	}
 	for _, k := range t.active {
 		if k.cell != nil || k.state != stateRunning {
 			continue
 		}
-		for _, c := range t.cells {
-			if len(c.seats) == k.Shape.Workers && c.admits(k) && p.adoptInto(k, c) {
+		for _, c := range p.open {
+			if c.open() && len(c.seats) == k.Shape.Workers && c.admits(k) && p.adoptInto(k, c) {
 				break
 			}
 		}
--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -14,6 +14,7 @@
 		shape  floor.Shape
 		seats  []seat
 		tasks  []*task
+		guest  *task
 	}
 
 	// seat is the part of a cell on one worker. Its worker is nil while the
@@ -110,6 +111,7 @@
 
 // enter lets a task take the seats.
 func (p *policy) enter(t *task, c *cell, seats []int, shares []share) {
+	t.part()
 	t.cell, t.seats, t.shares = c, seats, shares
 	c.tasks = append(c.tasks, t)
 	for rank, i := range seats {
@@ -122,6 +124,7 @@
 
 // leaveCell gives the seats of a task back.
 func (p *policy) leaveCell(t *task) {
+	t.part()
 	c := t.cell
 	if c == nil {
 		return
@@ -154,7 +157,7 @@
 // carve returns a place for a task in what is not taken of the cell.
 func (p *policy) carve(t *task, c *cell) (offer, bool) {
 	o := offer{cell: c}
-	if !c.admits(t) || len(c.tasks) > 0 && !c.hasRoom(t) {
+	if !c.open() || !c.admits(t) || len(c.tasks) > 0 && !c.hasRoom(t) {
 		return o, false
 	}
 	needed := needOf(t.Shape)
@@ -185,6 +188,20 @@
 	return 0
 }
 
+// open reports whether anything of the cell is left for a task.
+func (c *cell) open() bool {
+	if len(c.tasks) == 0 {
+		return true
+	}
+	for i := range c.seats {
+		s := &c.seats[i]
+		if s.used != s.share.mask || s.share.mask == 0 && s.taken.slots < s.share.amount.slots {
+			return true
+		}
+	}
+	return false
+}
+
 // hasRoom reports whether enough seats have accelerators left for a task.
 func (c *cell) hasRoom(t *task) bool {
 	open := 0
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -41,7 +41,7 @@
 	if !ok || best.loss > 0 && p.recovering() {
 		return false
 	}
-	if len(best.cell.seats) > t.Shape.Workers && p.borrow(t) {
+	if len(best.cell.seats) > t.Shape.Workers && (p.borrow(t) || p.visit(t, best.cell)) {
 		return true
 	}
 	p.enter(t, best.cell, best.seats, best.shares)
@@ -67,6 +67,31 @@
 	return true
 }
 
+// visit gives a task the place of borrowers, so that a cell for larger jobs, on
+// whose strength it asks, stays whole. A cell has one guest at a time.
+func (p *policy) visit(t *task, c *cell) bool {
+	if c.guest != nil || len(c.tasks) > 0 {
+		return false
+	}
+	q := p.query(t, viewFirm)
+	shares := p.find(q)
+	if shares == nil {
+		return false
+	}
+	c.guest, t.host = t, c
+	t.shares = shares
+	p.settle(t, p.config.Grace)
+	return true
+}
+
+// part ends a visit.
+func (t *task) part() {
+	if t.host != nil {
+		t.host.guest = nil
+		t.host = nil
+	}
+}
+
 // bestOffer returns the place in the account's cells that costs the least. A
 // cell without tasks may change its place first.
 func (p *policy) bestOffer(t *task) (offer, bool) {
@@ -214,8 +239,12 @@
 // shrink moves jobs that run alone on a cell to a smaller cell of the account,
 // by exchanging what the cells stand on.
 func (p *policy) shrink(t *tenant) {
+	smallest := t.cells[0].size()
 	for i := len(t.cells) - 1; i > 0; i-- {
 		c := t.cells[i]
+		if c.size() == smallest {
+			return
+		}
 		if len(c.tasks) != 1 || !c.tasks[0].active() {
 			continue
 		}
--- a/internal/scheduler/cooling.go
+++ b/internal/scheduler/cooling.go
@@ -88,6 +88,9 @@
 				used += b.running
 			}
 		case viewUnbound, viewFirm:
+			if q.task != nil {
+				continue
+			}
 			used += b.aside
 		}
 		if used > b.limit {
@@ -277,8 +280,12 @@
 func (p *policy) clearCooling(t *task, grace time.Duration) {
 	for _, s := range t.shares {
 		for _, b := range s.worker.budgets {
-			for b.running-b.leaving()+b.held+b.drawn(t) > b.limit {
-				v := p.coolest(b, func(v *task) bool { return t.cell != nil || !v.urgent })
+			held := b.held
+			if t.state == statePending {
+				held = 0
+			}
+			for b.running-b.leaving()+held+b.drawn(t) > b.limit {
+				v := p.coolest(b, func(v *task) bool { return t.firm() || !v.urgent })
 				if v == nil {
 					break
 				}
--- a/internal/scheduler/estimate.go
+++ b/internal/scheduler/estimate.go
@@ -22,6 +22,16 @@
 	runs     float64
 	mean     float64
 	variance float64
+
+	// middle is the factor in the middle of what is expected, high one that most
+	// runs stay below.
+	middle, high float64
+}
+
+func newEstimate() *estimate {
+	e := &estimate{}
+	e.settle()
+	return e
 }
 
 // learn takes a run that ended.
@@ -37,19 +47,17 @@
 	off := x - e.mean
 	e.mean += weight * off
 	e.variance = (1 - weight) * (e.variance + weight*off*off)
+	e.settle()
 }
 
-// middle is the factor in the middle of what is expected.
-func (e *estimate) middle() float64 {
-	trust := e.runs / (e.runs + estimatePrior)
-	return math.Exp(trust * e.mean)
-}
-
-// high is a factor that most runs stay below.
-func (e *estimate) high() float64 {
+// settle works the factors out, which lean on the declared times while there are
+// few runs.
+func (e *estimate) settle() {
 	prior := math.Log(estimateBound) / 2
-	variance := (e.variance*e.runs + prior*prior*estimatePrior) / (e.runs + estimatePrior)
-	return min(e.middle()*math.Exp(math.Sqrt(variance)), estimateBound)
+	runs := e.runs + estimatePrior
+	e.middle = math.Exp(e.runs / runs * e.mean)
+	variance := (e.variance*e.runs + prior*prior*estimatePrior) / runs
+	e.high = min(e.middle*math.Exp(math.Sqrt(variance)), estimateBound)
 }
 
 func (t *task) declared() time.Duration {
@@ -61,12 +69,12 @@
 
 // expected is how long the task is expected to run still, when it starts.
 func (t *task) expected() time.Duration {
-	return t.scaled(t.estimate.middle())
+	return t.scaled(t.estimate.middle)
 }
 
 // longest is how long the task may run when it starts, for most such tasks.
 func (t *task) longest() time.Duration {
-	return t.scaled(t.estimate.high())
+	return t.scaled(t.estimate.high)
 }
 
 func (t *task) scaled(factor float64) time.Duration {
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -66,6 +66,7 @@
 		backoff  []*task
 		heads    []*head
 		warm     []*worker
+		open     []*cell
 		pressing []*lane
 		pressDue time.Time
 		arrivals uint64
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -81,7 +81,7 @@
 func (t *tenant) estimate(class account.Class) *estimate {
 	e, ok := t.estimates[class]
 	if !ok {
-		e = &estimate{}
+		e = newEstimate()
 		t.estimates[class] = e
 	}
 	return e
--- a/internal/scheduler/reclaim.go
+++ b/internal/scheduler/reclaim.go
@@ -108,7 +108,7 @@
 func (p *policy) price(t, victim *task, firm bool) int {
 	switch {
 	case firm || victim.state == stateLeaving:
-	case victim.urgent:
+	case victim.urgent, victim.host != nil:
 		return forbidden
 	case t != nil && !t.urgent && (!victim.Idempotent || victim.members() >= t.members()):
 		return forbidden
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -166,6 +167,9 @@
 	if q.task != nil && q.task.avoids(p.now, w) {
 		return candidate{}, false
 	}
+	if q.view == viewFree && w.Accelerators-bits.OnesCount64(uint64(w.busy|w.held)) < q.need.accelerators {
+		return candidate{}, false
+	}
 	busy, used := p.occupied(q, w)
 	wanted := q.need.on(w)
 	if !used.plus(wanted).within(w.capacity()) {
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -33,6 +33,7 @@
 		urgent    bool
 		shares    []share
 		cell      *cell
+		host      *cell
 		seats     []int
 		queued    time.Time
 		started   time.Time
@@ -58,6 +59,11 @@
 	return t.cell == nil && !t.urgent
 }
 
+// firm reports whether a guarantee gives the task its place.
+func (t *task) firm() bool {
+	return t.cell != nil || t.host != nil
+}
+
 func (t *task) active() bool {
 	return t.state == stateRunning || t.state == stateLeaving
 }
@@ -151,7 +157,13 @@
 func (p *policy) startPending() {
 	p.chosen = append(p.chosen[:0], p.pending...)
 	for _, t := range p.chosen {
-		if slices.ContainsFunc(t.shares, func(s share) bool { return !s.clear() }) || !t.cooled() {
+		if slices.ContainsFunc(t.shares, func(s share) bool { return !s.clear() }) {
+			continue
+		}
+		if !t.cooled() {
+			if t.firm() {
+				p.clearCooling(t, p.config.Grace)
+			}
 			continue
 		}
 		shares := t.shares
@@ -166,7 +178,7 @@
 	p.dequeue(t)
 	free := true
 	for _, s := range t.shares {
-		p.victims, _ = p.victimsOf(t, s, t.cell != nil, p.victims[:0])
+		p.victims, _ = p.victimsOf(t, s, t.firm(), p.victims[:0])
 		p.chosen = append(p.chosen[:0], p.victims...)
 		for _, v := range p.chosen {
 			p.displace(v, grace)
@@ -175,7 +187,7 @@
 	}
 	if !t.cooled() {
 		free = false
-		if t.cell != nil || t.urgent {
+		if t.firm() || t.urgent {
 			p.clearCooling(t, grace)
 		}
 	}
