--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -23,7 +23,7 @@
 
 var (
 	seed   = flag.Uint64("measure.seed", 1, "seed of the workloads")
-	hours  = flag.Int("measure.hours", 4, "hours of arrivals at the target size")
+	hours  = flag.Int("measure.hours", 8, "hours of arrivals at the target size")
 	faults = flag.String("measure.faults", "", "faults to run, with commas between; all if empty")
 	detail = flag.Bool("measure.detail", false, "print each account and class, and each finding")
 
