--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,11 +14,9 @@
 	"github.com/lovageroad/lovageroad"
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/floor"
-	"github.com/lovageroad/lovageroad/internal/gate"
-	"github.com/lovageroad/lovageroad/internal/platform"
+	"github.com/lovageroad/lovageroad/internal/mtls"
+	"github.com/lovageroad/lovageroad/internal/operator"
 	"github.com/lovageroad/lovageroad/internal/settings"
-	"github.com/lovageroad/lovageroad/internal/upstream"
-	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
 const (
@@ -29,6 +27,10 @@
 	devAgents  = 4
 	devPort    = 7100
 	devDrain   = 5 * time.Second
+	devRetry   = 100 * time.Millisecond
+
+	devOperator      = "dev"
+	devOperatorToken = "dev-operator"
 )
 
 func newDev() *cli.Command {
@@ -59,15 +61,17 @@
 	group.Go(func() error {
 		return lovageroad.NewPlatform(lovageroad.PlatformSettings{Listen: platformAddress}).Run(ctx)
 	})
-	if err := seed(ctx, platformURL); err != nil {
+	gateKeys, agentKeys, err := devKeys()
+	if err != nil {
 		return err
 	}
 	for i := range devGates {
 		values := lovageroad.GateSettings{
 			Listen: public[i], Peer: peers[i], Region: devRegion, Platform: platformURL,
 			Gates: peers, Drain: devDrain, Place: "dc-1",
+			Operators: settings.Operators{{Name: devOperator, Hash: account.HashToken(devOperatorToken)}},
 		}
-		group.Go(func() error { return lovageroad.NewGate(values).Run(ctx) })
+		group.Go(func() error { return lovageroad.NewGate(values, gateKeys).Run(ctx) })
 	}
 	for i := range devAgents {
 		runner, own := next(), next()
@@ -78,8 +82,11 @@
 			Accelerators: 8, Cores: 32, Memory: 64 << 10, Slots: 8,
 			Gates: peers, Upstream: settings.URL("http://" + string(runner)), Platform: platformURL, Drain: devDrain,
 		}
-		group.Go(func() error { return serveFake(ctx, runner) })
-		group.Go(func() error { return lovageroad.NewAgent(values).Run(ctx) })
+		group.Go(func() error { return lovageroad.NewRunner(lovageroad.RunnerSettings{Listen: runner}).Run(ctx) })
+		group.Go(func() error { return lovageroad.NewAgent(values, agentKeys).Run(ctx) })
+	}
+	if err := createDevAccount(ctx, "http://"+string(public[0])); err != nil {
+		return errors.Join(err, group.Wait())
 	}
 	out := c.Root().Writer
 	fmt.Fprintf(out, "gates      http://%s http://%s\n", public[0], public[1])
@@ -87,50 +94,52 @@
 	fmt.Fprintf(out, "workers    %d with 8 accelerators each, in 2 racks\n", devAgents)
 	fmt.Fprintf(out, "try        go run ./cmd/lovageroad job submit --gate http://%s --account %s --token %s --workers 2 --accelerators 4 --adjacency rack --idempotent --input 'sleep 1s' --wait 30\n",
 		public[0], devAccount, devToken)
+	fmt.Fprintf(out, "operate    go run ./cmd/lovageroad account get --gate http://%s --token %s %s\n", public[0], devOperatorToken, devAccount)
 	return group.Wait()
 }
 
-// seed makes an account, once the stand-in answers.
-func seed(ctx context.Context, base settings.URL) error {
-	store := platform.NewClient(string(base), http.DefaultClient)
-	entry := account.Account{
-		Name:       devAccount,
-		Region:     devRegion,
-		Parameters: account.DefaultParameters(),
-		Tokens:     []account.TokenHash{account.HashToken(devToken)},
-	}
-	value, err := json.Marshal(entry)
-	if err != nil {
-		return err
+// createDevAccount creates an account with one guarantee, as an operator does,
+// once a gate and enough workers answer.
+func createDevAccount(ctx context.Context, gate string) error {
+	o := operatorClient{gate: gate, token: devOperatorToken}
+	s := account.Subject{Kind: account.KindAccount, Name: devAccount}
+	body := operator.Definition{
+		Overrides: &account.Overrides{Guarantees: &[]account.Guarantee{{
+			Shape: floor.Shape{Workers: 2, Accelerators: 4, Adjacency: floor.AdjacentRack},
+			Count: 1,
+		}}},
+		Hashes: []account.TokenHash{account.HashToken(devToken)},
 	}
-	txn := table.Txn{Writes: []table.Write{{Key: gate.AccountKey(devRegion, devAccount), Value: value}}}
-	for range 50 {
-		if _, err = store.Commit(ctx, txn); err == nil {
+	id := account.ChangeID("dev")
+	for {
+		var created operator.Body
+		err := o.call(ctx, http.MethodPut, subjectPath(s), operatorCall{id: id, body: body}, &created)
+		if err == nil {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(100 * time.Millisecond):
+			return err
+		case <-time.After(devRetry):
 		}
 	}
-	return err
 }
 
-func serveFake(ctx context.Context, address settings.Address) error {
-	listener, err := net.Listen("tcp", string(address))
+// devKeys returns keys in memory for gates and agents on loopback.
+func devKeys() (gates, agents lovageroad.Option, err error) {
+	now := time.Now()
+	authority, err := mtls.NewAuthority(now)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	server := &http.Server{Handler: upstream.NewFake().Handler(), ReadHeaderTimeout: lovageroad.HeaderTimeout}
-	go func() {
-		<-ctx.Done()
-		if err := server.Close(); err != nil {
-			return
-		}
-	}()
-	if err := server.Serve(listener); ctx.Err() == nil {
-		return err
+	loopback := net.IPv4(127, 0, 0, 1)
+	gateKeys, err := authority.Issue(now, mtls.RoleGate, loopback)
+	if err != nil {
+		return nil, nil, err
+	}
+	agentKeys, err := authority.Issue(now, mtls.RoleAgent, loopback)
+	if err != nil {
+		return nil, nil, err
 	}
-	return nil
+	return lovageroad.WithKeys(mtls.Fixed{Material: gateKeys}), lovageroad.WithKeys(mtls.Fixed{Material: agentKeys}), nil
 }
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -5,8 +5,8 @@
 
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
-	"github.com/lovageroad/lovageroad/internal/scheduler"
 	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
@@ -22,6 +22,9 @@
 
 	// stepStopping waits until no member runs any more.
 	stepStopping
+
+	// throttleInterval is the time after which a slowed member is told so again.
+	throttleInterval = 5 * time.Second
 )
 
 type (
@@ -29,15 +32,23 @@
 
 	// attempt is one start of a job: all of its members, or none.
 	attempt struct {
-		number   job.Attempt
-		step     step
-		members  []*member
-		deadline time.Time
-		resend   time.Time
-		cancel   bool
-		reason   string
-		failed   bool
-		blamed   floor.WorkerID
+		number     job.Attempt
+		epoch      lease.Epoch
+		step       step
+		members    []*member
+		deadline   time.Time
+		resend     time.Time
+		stopping   time.Time
+		cancel     bool
+		refused    bool
+		reclaimed  bool
+		checkpoint bool
+		grace      time.Duration
+		slow       bool
+		throttled  time.Time
+		reason     string
+		failed     bool
+		blamed     floor.WorkerID
 	}
 
 	member struct {
@@ -51,8 +62,8 @@
 	}
 )
 
-func newAttempt(_ time.Time, number job.Attempt, placement floor.Placement, first step) *attempt {
-	a := &attempt{number: number, step: first}
+func newAttempt(number job.Attempt, epoch lease.Epoch, placement floor.Placement, first step) *attempt {
+	a := &attempt{number: number, epoch: epoch, step: first}
 	for _, share := range placement {
 		a.members = append(a.members, &member{share: share})
 	}
@@ -61,7 +72,15 @@
 
 // start asks every member to set its share aside.
 func (l *leader) start(now time.Time, e *entry, placement floor.Placement) {
-	a := newAttempt(now, e.record.Attempt+1, placement, stepReserving)
+	if e == nil || e.attempt != nil {
+		return
+	}
+	if !e.record.Spec.Idempotent && l.writer.stalled(now) {
+		l.park(now, e, now)
+		return
+	}
+	e.tried = max(e.tried, e.record.Attempt) + 1
+	a := newAttempt(e.tried, l.epoch, placement, stepReserving)
 	a.deadline = now.Add(l.gate.config.ReserveTimeout)
 	e.attempt = a
 	l.sendReserves(now, e)
@@ -78,23 +97,31 @@
 	}
 	for rank, m := range a.members {
 		if !m.reserved {
-			l.order(m, func(order wire.Order) any {
-				return wire.Reserve{Order: order, Task: a.task(e, rank), Share: m.share, Spec: e.record.Spec, Peers: peers}
+			l.order(now, m, func(order wire.Order) any {
+				return wire.Reserve{Order: order, Task: a.task(e, rank), Share: m.share, Spec: e.record.Spec, Body: e.record.Body, Peers: peers}
 			})
 		}
 	}
 }
 
-// order sends an order to a member's agent.
-func (l *leader) order(m *member, body func(wire.Order) any) {
+// order sends an order to a member's agent and notes that an answer is due.
+func (l *leader) order(now time.Time, m *member, body func(wire.Order) any) {
 	u, ok := l.workers[m.share.Worker]
-	if !ok || !u.fenced {
+	if !ok {
 		return
 	}
-	l.gate.send(u.node, body(wire.Order{Epoch: l.epoch, Incarnation: u.incarnation}))
+	if u.asked.IsZero() {
+		u.asked = now
+	}
+	l.gate.send(u.node, body(l.orderFor(u)))
+}
+
+func (l *leader) orderFor(u *upstream) wire.Order {
+	return wire.Order{Epoch: l.epoch, Revision: l.gate.directory.revision(), Incarnation: u.incarnation}
 }
 
 func (l *leader) reserved(now time.Time, from machine.Node, m wire.Reserved) {
+	l.answered(from)
 	e, member := l.member(from, m.Task)
 	if member == nil || e.attempt.step != stepReserving {
 		return
@@ -112,7 +139,8 @@
 	l.commitStart(now, e)
 }
 
-// commitStart makes the start durable before any member may run.
+// commitStart makes the start durable before any member may run. While the store
+// is away, an idempotent job may start without.
 func (l *leader) commitStart(now time.Time, e *entry) {
 	a := e.attempt
 	a.step = stepDeciding
@@ -122,7 +150,8 @@
 	e.record.Placement = a.placement()
 	e.record.Started = now
 	e.saved = func(now time.Time) { l.release(now, e) }
-	l.save(now, e)
+	l.save(e)
+	l.proceed(now, e)
 }
 
 // release lets all members run.
@@ -132,6 +161,7 @@
 	}
 	e.attempt.step = stepRunning
 	l.sendRuns(now, e)
+	l.checkResults(now, e)
 }
 
 func (l *leader) sendRuns(now time.Time, e *entry) {
@@ -139,50 +169,47 @@
 	a.resend = now.Add(l.gate.config.Resend)
 	for rank, m := range a.members {
 		if !m.running && m.result == nil {
-			l.order(m, func(order wire.Order) any { return wire.Run{Order: order, Task: a.task(e, rank)} })
+			l.order(now, m, func(order wire.Order) any { return wire.Run{Order: order, Task: a.task(e, rank)} })
 		}
 	}
 }
 
 func (l *leader) running(_ time.Time, from machine.Node, m wire.Running) {
-	if _, member := l.member(from, m.Task); member != nil {
+	l.answered(from)
+	if e, member := l.member(from, m.Task); member != nil {
 		member.running = true
+		e.aborts = 0
 	}
 }
 
 func (l *leader) memberEnded(now time.Time, from machine.Node, m wire.Ended) {
+	l.answered(from)
 	e, member := l.member(from, m.Task)
 	if member == nil {
-		l.settleStray(from, m)
+		l.endedStray(from, m)
 		return
 	}
 	member.result = &m.Result
-	a := e.attempt
-	if a.step != stepRunning {
-		return
+	if e.attempt.step == stepRunning {
+		l.checkResults(now, e)
 	}
-	if m.Result.Failed {
-		a.failed = true
-		a.blamed = member.share.Worker
-		l.abort(now, e, m.Result.Reason)
-		return
-	}
-	for _, other := range a.members {
-		if other.result == nil {
-			return
-		}
-	}
-	l.complete(now, e)
 }
 
-// settleStray lets an agent forget a result whose job has ended durably.
-func (l *leader) settleStray(from machine.Node, m wire.Ended) {
-	e, ok := l.jobs[m.Task.Job]
-	if !ok || !e.record.State.Final() || !e.durable {
-		return
+// checkResults ends an attempt of which a member has failed or all have results.
+func (l *leader) checkResults(now time.Time, e *entry) {
+	a := e.attempt
+	missing := false
+	for _, m := range a.members {
+		if m.result != nil && m.result.Failed {
+			a.failed = true
+			a.blamed = m.share.Worker
+			l.abort(now, e, m.result.Reason)
+			return
+		}
+		missing = missing || m.result == nil
 	}
-	if u := l.at(from); u != nil {
-		l.gate.send(from, wire.Settled{Order: wire.Order{Epoch: l.epoch, Incarnation: u.incarnation}, Task: m.Task})
+	if !missing {
+		l.complete(now, e)
 	}
 }
 
@@ -194,95 +221,50 @@
 	e.attempt = nil
 	e.saved = func(time.Time) { l.settle(e, a) }
 	l.finish(now, e, job.StateDone, "", "")
+	l.report(e)
 }
 
 func (l *leader) settle(e *entry, a *attempt) {
 	for rank, m := range a.members {
-		l.order(m, func(order wire.Order) any { return wire.Settled{Order: order, Task: a.task(e, rank)} })
-	}
-}
-
-// abort stops all members of an attempt.
-func (l *leader) abort(now time.Time, e *entry, reason string) {
-	if e == nil || e.attempt == nil || e.attempt.step == stepStopping {
-		return
-	}
-	a := e.attempt
-	if a.step == stepDeciding {
-		a.cancel = a.cancel || reason == ""
-	}
-	a.step = stepStopping
-	a.reason = reason
-	e.saved = nil
-	l.sendStops(now, e)
-	l.checkStopped(now, e)
-}
-
-func (l *leader) sendStops(now time.Time, e *entry) {
-	a := e.attempt
-	a.resend = now.Add(l.gate.config.Resend)
-	for rank, m := range a.members {
-		if !m.stopped && !m.lost {
-			l.order(m, func(order wire.Order) any { return wire.Stop{Order: order, Task: a.task(e, rank)} })
+		if u, ok := l.workers[m.share.Worker]; ok {
+			l.sendSettled(u, a.task(e, rank))
 		}
 	}
 }
 
-func (l *leader) stopped(now time.Time, from machine.Node, m wire.Stopped) {
-	e, member := l.member(from, m.Task)
-	if member == nil || e.attempt.step != stepStopping {
+// throttle slows the members of a job down, or lets them run at full speed.
+func (l *leader) throttle(now time.Time, e *entry, slow bool) {
+	if e == nil || e.attempt == nil {
 		return
 	}
-	member.stopped = true
-	member.ran = member.ran || m.Ran
-	l.checkStopped(now, e)
+	e.attempt.slow = slow
+	l.sendThrottles(now, e)
 }
 
-// checkStopped ends an attempt of which no member runs any more: the job waits
-// again, or it has ended.
-func (l *leader) checkStopped(now time.Time, e *entry) {
+func (l *leader) sendThrottles(now time.Time, e *entry) {
 	a := e.attempt
-	ran := false
-	for _, m := range a.members {
-		if !m.stopped && !m.lost {
-			return
+	a.throttled = now
+	for rank, m := range a.members {
+		if u, ok := l.workers[m.share.Worker]; ok && m.result == nil {
+			l.gate.send(u.node, wire.Throttle{Order: l.orderFor(u), Task: a.task(e, rank), Slow: a.slow})
 		}
-		ran = ran || m.ran || (m.lost && e.record.State == job.StateStarted)
 	}
-	e.attempt = nil
-	outcome := scheduler.Outcome{Failed: a.failed, Blamed: a.blamed}
-	switch {
-	case a.cancel && !ran:
-		l.finish(now, e, job.StateCancelled, job.NotRun, a.reason)
-	case a.cancel:
-		l.finish(now, e, job.StateCancelled, job.MayHaveRun, a.reason)
-	case a.failed && !e.record.Spec.Idempotent:
-		l.finish(now, e, job.StateFailed, job.MayHaveRun, a.reason)
-	case ran && !e.record.Spec.Idempotent:
-		l.finish(now, e, job.StateUnknown, job.MayHaveRun, a.reason)
-	case a.failed && a.number >= l.gate.config.MaxAttempts:
-		l.finish(now, e, job.StateFailed, job.MayHaveRun, a.reason)
-	default:
-		l.requeue(now, e, outcome)
-	}
-}
-
-func (l *leader) requeue(now time.Time, e *entry, outcome scheduler.Outcome) {
-	l.policy.Requeue(now, e.record.ID, outcome)
-	if e.record.State == job.StateQueued && e.durable {
-		return
-	}
-	e.record.State = job.StateQueued
-	e.record.Placement = nil
-	l.save(now, e)
 }
 
 func (l *leader) tickAttempt(now time.Time, e *entry) {
 	a := e.attempt
 	if a.step == stepReserving && !now.Before(a.deadline) {
+		l.suspect(e)
 		l.abort(now, e, "a member did not answer")
 		return
 	}
+	if a.slow && a.step == stepRunning && now.Sub(a.throttled) >= throttleInterval {
+		l.sendThrottles(now, e)
+	}
+	if a.step == stepStopping && now.Sub(a.stopping) > a.grace+l.gate.config.StopTimeout {
+		l.loseUnstopped(now, e)
+		return
+	}
 	if now.Before(a.resend) {
 		return
 	}
@@ -301,7 +283,7 @@
 // comes from the agent that holds it.
 func (l *leader) member(from machine.Node, id wire.TaskID) (*entry, *member) {
 	e, ok := l.jobs[id.Job]
-	if !ok || e.attempt == nil || e.attempt.number != id.Attempt {
+	if !ok || e.attempt == nil || e.attempt.number != id.Attempt || e.attempt.epoch != id.Epoch {
 		return nil, nil
 	}
 	if id.Rank < 0 || int(id.Rank) >= len(e.attempt.members) {
@@ -316,7 +298,7 @@
 }
 
 func (a *attempt) task(e *entry, rank int) wire.TaskID {
-	return wire.TaskID{Job: e.record.ID, Attempt: a.number, Rank: job.Rank(rank)}
+	return wire.TaskID{Job: e.record.ID, Attempt: a.number, Rank: job.Rank(rank), Epoch: a.epoch}
 }
 
 func (a *attempt) placement() floor.Placement {
@@ -326,14 +308,3 @@
 	}
 	return placement
 }
-
-func outcomeOf(record job.Record) scheduler.Outcome {
-	outcome := scheduler.Outcome{
-		Failed:    record.State == job.StateFailed,
-		Cancelled: record.State == job.StateCancelled,
-	}
-	if !record.Started.IsZero() {
-		outcome.Elapsed = record.Ended.Sub(record.Started)
-	}
-	return outcome
-}
--- a/internal/gate/front.go
+++ b/internal/gate/front.go
@@ -2,26 +2,45 @@
 
 import (
 	"cmp"
-	"encoding/json"
-	"errors"
 	"slices"
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/account"
-	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
 	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
-	"github.com/lovageroad/lovageroad/pkg/table"
+	"github.com/lovageroad/lovageroad/pkg/retry"
+)
+
+const (
+	// askCap is the longest time between two copies of one request to a leader.
+	askCap = 4 * time.Second
+
+	// maxWatch is the number of jobs in one message to a leader.
+	maxWatch = 1000
+
+	// tableNode stands for the table among the destinations of retries.
+	tableNode machine.Node = "table"
 )
 
 type (
 	// front holds callers' requests until each has its reply.
 	front struct {
 		gate     *Gate
+		limiter  *limiter
 		requests map[RequestID]*request
+		accounts map[account.Name]int
+		retries  *retry.Group[machine.Node]
+		backoff  retry.Backoff
+		leader   lease.Lease
+		watch    time.Time
+		keeper   *keeper
 	}
 
+	// request is one request of a caller. It is accepted once a leader or the
+	// table has a record of its job, settling while a store operation is under
+	// way, and last if the result of that is its reply in any case.
 	request struct {
 		id       RequestID
 		job      job.ID
@@ -29,59 +48,68 @@
 		submit   *wire.Submit
 		cancel   bool
 		accepted bool
+		missing  bool
 		settling bool
-		sent     bool
+		last     bool
+		record   job.Record
 		deadline time.Time
 		wait     time.Time
 		resend   time.Time
+		tries    int
 	}
 )
 
 func newFront(g *Gate) *front {
-	return &front{gate: g, requests: make(map[RequestID]*request)}
+	return &front{
+		gate:     g,
+		limiter:  newLimiter(g.config),
+		requests: make(map[RequestID]*request),
+		accounts: make(map[account.Name]int),
+		retries:  retry.NewGroup[machine.Node](retry.WithJitter(g.random.Float64)),
+		backoff:  retry.Backoff{Base: g.config.Resend, Cap: askCap, Jitter: g.random.Float64},
+		keeper:   newKeeper(g),
+	}
 }
 
 func (f *front) request(now time.Time, event machine.Event) {
-	if err := f.denied(event); err != nil {
+	if err := f.denied(now, event); err != nil || f.gate.directory.refuses(now, event) {
 		return
 	}
 	switch e := event.(type) {
 	case Submit:
-		f.add(now, &request{
-			id:      e.Request,
-			job:     e.ID,
-			account: e.Spec.Account,
-			submit:  &wire.Submit{ID: e.ID, Spec: e.Spec, Body: e.Body},
-			wait:    e.Wait,
-		})
+		submit := &wire.Submit{ID: e.ID, Spec: e.Spec, Body: e.Body, Revision: f.gate.directory.revision(), Wait: now.Before(e.Wait)}
+		f.add(now, &request{id: e.Request, job: e.ID, account: e.Spec.Account, submit: submit, wait: e.Wait})
 	case Lookup:
-		r := &request{id: e.Request, job: e.ID, account: e.Account, accepted: true, wait: e.Wait}
-		f.requests[r.id] = r
-		r.deadline = now.Add(f.gate.config.AcceptTimeout)
-		f.lookup(now, r)
+		f.add(now, &request{id: e.Request, job: e.ID, account: e.Account, wait: e.Wait})
 	case Cancel:
 		f.add(now, &request{id: e.Request, job: e.ID, account: e.Account, cancel: true})
 	case Abandon:
-		delete(f.requests, e.Request)
+		f.remove(e.Request)
 	}
 }
 
 // denied replies to a request whose token does not open its account.
-func (f *front) denied(event machine.Event) error {
+func (f *front) denied(now time.Time, event machine.Event) error {
 	switch e := event.(type) {
 	case Submit:
-		return f.deny(e.Request, e.Spec.Account, e.Token)
+		return f.deny(now, e.Request, e.Spec.Account, e.Token)
 	case Lookup:
-		return f.deny(e.Request, e.Account, e.Token)
+		return f.deny(now, e.Request, e.Account, e.Token)
 	case Cancel:
-		return f.deny(e.Request, e.Account, e.Token)
+		return f.deny(now, e.Request, e.Account, e.Token)
 	default:
 		return nil
 	}
 }
 
-func (f *front) deny(id RequestID, name account.Name, token account.TokenHash) error {
+func (f *front) deny(now time.Time, id RequestID, name account.Name, token account.TokenHash) error {
 	err := f.gate.directory.check(name, token)
+	if err == nil {
+		err = f.limiter.check(now, name)
+	}
+	if err == nil && f.full(name) {
+		err = &UnavailableError{Reason: "too many requests are open", Ran: job.MayHaveRun}
+	}
 	if err != nil {
 		f.gate.observeError("", err)
 		f.gate.emit(Reply{Request: id, Err: err})
@@ -89,154 +117,185 @@
 	return err
 }
 
+// full reports whether the gate or the account has too many open requests.
+func (f *front) full(name account.Name) bool {
+	limit := f.gate.config.MaxRequests
+	return len(f.requests) >= limit || float64(f.accounts[name]) >= f.gate.config.AccountShare*float64(limit)
+}
+
 func (f *front) add(now time.Time, r *request) {
 	r.deadline = now.Add(f.gate.config.AcceptTimeout)
-	f.requests[r.id] = r
+	if r.patient() && r.wait.After(r.deadline) {
+		r.deadline = r.wait
+	}
+	f.hold(r)
+	if r.submit == nil && !r.cancel {
+		f.lookup(now, r)
+		return
+	}
+	if record, ok := f.keeper.known[r.job]; ok && r.submit != nil {
+		f.answer(now, r, record)
+		return
+	}
+	f.retries.First(now, f.leader.Holder)
 	f.ask(now, r)
 }
 
-// ask sends the request to the leader, as often as it takes.
+func (f *front) hold(r *request) {
+	f.requests[r.id] = r
+	f.accounts[r.account]++
+}
+
+// patient reports whether a request may wait for a leader for as long as its
+// caller waits: it asks only, or its job may run twice.
+func (r *request) patient() bool {
+	return !r.cancel && (r.submit == nil || r.submit.Spec.Idempotent)
+}
+
+// ask sends a request to the leader.
 func (f *front) ask(now time.Time, r *request) {
-	r.resend = now.Add(f.gate.config.Resend)
-	leader, _ := f.gate.elector.Lease()
-	if leader.Holder == "" {
-		return
-	}
+	r.tries++
+	r.resend = now.Add(f.backoff.Delay(r.tries))
+	to := f.leader.Holder
 	switch {
 	case r.cancel:
-		f.gate.send(leader.Holder, wire.Cancel{ID: r.job, Account: r.account})
+		f.gate.send(to, wire.Cancel{ID: r.job, Account: r.account})
+	case r.submit != nil && !r.accepted && !f.gate.directory.fresh(now):
 	case r.submit != nil && !r.accepted:
-		r.sent = true
-		f.gate.send(leader.Holder, *r.submit)
+		r.submit.Revision = f.gate.directory.revision()
+		r.submit.Patience = r.deadline.Sub(now)
+		f.gate.send(to, *r.submit)
 	default:
-		f.gate.send(leader.Holder, wire.Watch{Jobs: []job.ID{r.job}})
+		f.gate.send(to, wire.Watch{Jobs: []job.ID{r.job}})
 	}
 }
 
-func (f *front) tick(now time.Time) {
+// follow asks a new leader for everything that is open.
+func (f *front) follow(now time.Time, current lease.Lease) {
+	if current.Holder == f.leader.Holder && current.Epoch == f.leader.Epoch {
+		return
+	}
+	f.leader = current
+	f.watch = now
 	for _, r := range f.list() {
-		switch {
-		case r.settling:
-		case r.accepted && !r.wait.IsZero() && !now.Before(r.wait):
-			f.lookup(now, r)
-		case !r.accepted && !now.Before(r.deadline):
-			f.expire(now, r)
-		case !now.Before(r.resend):
+		r.tries = 0
+		r.resend = now
+		if !r.accepted && !r.settling {
+			f.retries.First(now, current.Holder)
 			f.ask(now, r)
 		}
 	}
 }
 
+func (f *front) tick(now time.Time) {
+	for _, r := range f.list() {
+		f.tickRequest(now, r)
+	}
+	if !now.Before(f.watch) {
+		f.watch = now.Add(f.gate.config.Watch)
+		f.sendWatch()
+	}
+	f.keeper.tick(now)
+}
+
+func (f *front) tickRequest(now time.Time, r *request) {
+	switch {
+	case r.settling:
+	case r.accepted && !now.Before(r.wait):
+		f.conclude(now, r)
+	case !r.accepted && !now.Before(r.deadline):
+		f.expire(now, r)
+	case r.accepted || now.Before(r.resend):
+	case !f.retries.Allow(now, f.leader.Holder):
+		r.resend = now.Add(f.gate.config.Resend)
+	case r.submit == nil && !r.cancel && !r.missing && f.retries.Allow(now, tableNode):
+		r.resend = now.Add(f.gate.config.Resend)
+		f.lookup(now, r)
+	default:
+		f.ask(now, r)
+	}
+}
+
+// sendWatch asks the leader for all jobs whose end callers wait for.
+func (f *front) sendWatch() {
+	var jobs []job.ID
+	for _, r := range f.list() {
+		if r.accepted && len(jobs) < maxWatch {
+			jobs = append(jobs, r.job)
+		}
+	}
+	if len(jobs) > 0 {
+		f.gate.send(f.leader.Holder, wire.Watch{Jobs: jobs})
+	}
+}
+
 // status takes the leader's word on a job to all requests for it.
 func (f *front) status(now time.Time, m wire.Status) {
+	f.keeper.take(m)
 	for _, r := range f.list() {
-		if r.job != m.Record.ID || r.settling {
-			continue
-		}
-		if !m.Known {
+		switch {
+		case r.job != m.Record.ID || r.settling:
+		case m.Known:
+			f.answer(now, r, m.Record)
+		case r.missing:
+			f.reply(r, job.Record{}, &UnknownJobError{ID: r.job})
+		default:
 			f.lookup(now, r)
+		}
+	}
+}
+
+// pending permits a job to start without a durable record: this gate will not
+// refuse it any more.
+func (f *front) pending(now time.Time, m wire.Pending) {
+	for _, r := range f.list() {
+		if r.job != m.ID || r.submit == nil || r.accepted || !r.patient() || !now.Before(r.wait) {
 			continue
 		}
-		f.answer(now, r, m.Record)
+		r.submit.Volatile = true
+		f.ask(now, r)
 	}
 }
 
 // answer gives the reply, or waits on if the caller waits for the end.
 func (f *front) answer(now time.Time, r *request, record job.Record) {
-	if record.Spec.Account != r.account {
+	switch {
+	case record.Spec.Account != r.account:
 		f.reply(r, job.Record{}, &UnknownJobError{ID: r.job})
-		return
-	}
-	if r.submit != nil && record.Body != r.submit.Body {
+	case r.submit != nil && record.Body != r.submit.Body:
 		f.reply(r, job.Record{}, &MismatchError{ID: r.job})
-		return
-	}
-	if record.State.Final() || !now.Before(r.wait) {
+	case record.State.Final() || (!r.cancel && !now.Before(r.wait)):
 		f.reply(r, record, nil)
-		return
+	case !r.cancel:
+		r.accepted = true
+		r.record = record
 	}
-	r.accepted = true
 }
 
-// lookup reads a job from the table.
-func (f *front) lookup(now time.Time, r *request) {
-	region := f.gate.config.Region
-	r.settling = true
-	keys := []table.Key{doneKey(region, r.job), liveKey(region, r.job)}
-	f.gate.store.Read(keys, func(result machine.Stored) {
-		r.settling = false
-		f.found(now, r, result)
-	})
-}
-
-func (f *front) found(now time.Time, r *request, result machine.Stored) {
+func (f *front) reply(r *request, record job.Record, err error) {
 	if _, ok := f.requests[r.id]; !ok {
 		return
 	}
-	if result.Err != nil {
-		f.unavailable(now, r)
-		return
-	}
-	for _, row := range result.Rows {
-		var record job.Record
-		if json.Unmarshal(row.Value, &record) == nil {
-			f.answer(now, r, record)
-			return
-		}
-	}
-	if r.submit == nil {
-		f.reply(r, job.Record{}, &UnknownJobError{ID: r.job})
-	}
-}
-
-func (f *front) unavailable(now time.Time, r *request) {
-	if now.Before(r.deadline) || now.Before(r.wait) {
-		f.ask(now, r)
-		return
-	}
-	f.reply(r, job.Record{}, &UnavailableError{Reason: "the job's state cannot be read now", Ran: job.MayHaveRun})
+	f.remove(r.id)
+	f.gate.observeError(r.account, err)
+	f.gate.emit(Reply{Request: r.id, Record: record, Err: err})
 }
 
-// expire settles a submission that no leader has answered: it makes certain that
-// the job never runs, or finds out that it was accepted.
-func (f *front) expire(now time.Time, r *request) {
-	if r.submit == nil {
-		f.reply(r, job.Record{}, &UnavailableError{Reason: "no leader answers", Ran: job.MayHaveRun})
+func (f *front) remove(id RequestID) {
+	r, ok := f.requests[id]
+	if !ok {
 		return
 	}
-	if !r.sent {
-		f.reply(r, job.Record{}, &UnavailableError{Reason: "there is no leader", Ran: job.NotRun})
-		return
+	delete(f.requests, id)
+	f.accounts[r.account]--
+	if f.accounts[r.account] <= 0 {
+		delete(f.accounts, r.account)
 	}
-	r.settling = true
-	region := f.gate.config.Region
-	record := refusal(now, *r.submit, "no leader answered in time")
-	txn, err := createRefused(region, record)
-	if err != nil {
-		f.reply(r, job.Record{}, err)
-		return
-	}
-	f.gate.store.Commit(txn, func(result machine.Stored) {
-		r.settling = false
-		var conflict *table.ConflictError
-		switch {
-		case result.Err == nil:
-			f.reply(r, record, nil)
-		case errors.As(result.Err, &conflict):
-			f.lookup(now, r)
-		default:
-			f.reply(r, job.Record{}, &UnavailableError{Reason: "the store does not answer", Ran: job.MayHaveRun})
-		}
-	})
 }
 
-func (f *front) reply(r *request, record job.Record, err error) {
-	if _, ok := f.requests[r.id]; !ok {
-		return
-	}
-	delete(f.requests, r.id)
-	f.gate.observeError(r.account, err)
-	f.gate.emit(Reply{Request: r.id, Record: record, Err: err})
+// idle reports whether no request is open.
+func (f *front) idle() bool {
+	return len(f.requests) == 0
 }
 
 func (f *front) list() []*request {
@@ -247,30 +306,3 @@
 	slices.SortFunc(list, func(x, y *request) int { return cmp.Compare(x.id, y.id) })
 	return list
 }
-
-func refusal(now time.Time, m wire.Submit, reason string) job.Record {
-	return job.Record{
-		ID:        m.ID,
-		Spec:      m.Spec,
-		Body:      m.Body,
-		State:     job.StateRefused,
-		Ran:       job.NotRun,
-		Reason:    reason,
-		Submitted: now,
-		Ended:     now,
-	}
-}
-
-// createRefused returns a transaction that records a refusal unless the job is
-// known already.
-func createRefused(region floor.RegionID, record job.Record) (table.Txn, error) {
-	record.Spec.Input = nil
-	value, err := json.Marshal(record)
-	if err != nil {
-		return table.Txn{}, err
-	}
-	return table.Txn{
-		Checks: absent(region, record.ID),
-		Writes: []table.Write{{Key: doneKey(region, record.ID), Value: value}},
-	}, nil
-}
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -7,11 +7,15 @@
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
+	"github.com/lovageroad/lovageroad/internal/scheduler"
 	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
 const (
+	// ObserveInterval is the time between two observations of the region.
+	ObserveInterval = 15 * time.Second
+
 	// OtherClass stands for the classes that an account's parameters do not name.
 	OtherClass account.Class = "other"
 )
@@ -37,6 +41,12 @@
 	// Reason is why a request was refused, as a label of few values.
 	Reason string
 
+	// RegionObserved is an effect: the leader's state of the region, from time to
+	// time.
+	RegionObserved struct {
+		Overview scheduler.Overview
+	}
+
 	// LeadershipChanged is an effect: the region has another leader.
 	LeadershipChanged struct {
 		Leader machine.Node
@@ -58,6 +68,9 @@
 	// ReasonDenied is a wrong account or token.
 	ReasonDenied Reason = "denied"
 
+	// ReasonRate is an account that makes too many requests.
+	ReasonRate Reason = "rate"
+
 	// ReasonQueue is a queue limit that is reached.
 	ReasonQueue Reason = "queue"
 
@@ -80,6 +93,16 @@
 	WorkerLost Change = "lost"
 )
 
+// observeRegion reports the state of the region, if this gate leads it and it is
+// time.
+func (g *Gate) observeRegion(now time.Time) {
+	if g.leader == nil || !g.leader.ready || now.Before(g.observed.Add(ObserveInterval)) {
+		return
+	}
+	g.observed = now
+	g.emit(RegionObserved{Overview: g.leader.policy.Overview(now)})
+}
+
 // observeEnd reports the end of a job.
 func (g *Gate) observeEnd(record job.Record) {
 	g.emit(JobEnded{
@@ -104,12 +127,15 @@
 func (g *Gate) observeError(name account.Name, err error) {
 	var (
 		denied      *DeniedError
+		limited     *RateError
 		mismatch    *MismatchError
 		unavailable *UnavailableError
 	)
 	switch {
 	case errors.As(err, &denied):
 		g.emit(JobRefused{Reason: ReasonDenied})
+	case errors.As(err, &limited):
+		g.emit(JobRefused{Reason: ReasonRate})
 	case errors.As(err, &mismatch):
 		g.emit(JobRefused{Account: name, Reason: ReasonMismatch})
 	case errors.As(err, &unavailable):
--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -3,50 +3,106 @@
 import (
 	"time"
 
+	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/wire"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
-// announced takes note that an agent is there, and fences one that is new.
-func (l *leader) announced(now time.Time, from machine.Node, m wire.Announce) {
+// confirmDelay is the time after a request from which on an announcement was
+// certainly sent after it.
+const confirmDelay = 500 * time.Millisecond
+
+// upstream is an agent as its leader knows it. It is asked since a time while an
+// order has no answer, and suspect if that made a start fail.
+type upstream struct {
+	node        machine.Node
+	worker      floor.Worker
+	incarnation wire.Incarnation
+	leaving     bool
+	suspect     bool
+	draw        floor.Watts
+	heard       time.Time
+	asked       time.Time
+}
+
+// agentLife is one life of the agent of a worker.
+type agentLife struct {
+	worker      floor.WorkerID
+	incarnation wire.Incarnation
+}
+
+func lifeOf(worker floor.WorkerID, incarnation wire.Incarnation) agentLife {
+	return agentLife{worker: worker, incarnation: incarnation}
+}
+
+// announced takes note that an agent is there, and fences one that is new. It
+// returns whether the agent is fenced already. One that comes before the leader
+// is ready gets no answer and asks again.
+func (l *leader) announced(now time.Time, from machine.Node, m wire.Announce) bool {
 	u, ok := l.workers[m.Worker.ID]
-	if ok && (u.node != from || u.incarnation != m.Incarnation) {
-		l.lose(now, u)
-		ok = false
-	}
-	if !ok {
-		u = &upstream{node: from, worker: m.Worker, incarnation: m.Incarnation}
-		l.workers[m.Worker.ID] = u
+	if !ok || u.node != from || u.incarnation != m.Incarnation || m.Epoch < l.epoch {
+		if l.ready && !l.replaced[lifeOf(m.Worker.ID, m.Incarnation)] {
+			l.gate.send(from, wire.Fence{Epoch: l.epoch, Revision: l.gate.directory.revision()})
+		}
+		return false
 	}
 	u.heard = now
-	if !u.fenced || m.Epoch < l.epoch {
-		l.gate.send(from, wire.Fence{Epoch: l.epoch})
+	if m.Draw != u.draw {
+		u.draw = m.Draw
+		l.policy.Report(now, u.worker.ID, m.Draw)
+	}
+	if m.Leaving {
+		l.leave(now, u)
+	}
+	return true
+}
+
+// leave keeps an upstream that is leaving from new work, also from work that has
+// not begun yet.
+func (l *leader) leave(now time.Time, u *upstream) {
+	if u.leaving {
 		return
 	}
-	if m.Leaving && !u.leaving {
-		u.leaving = true
-		l.policy.DrainWorker(u.worker.ID)
-		l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerLeaving})
+	u.leaving = true
+	l.policy.DrainWorker(u.worker.ID)
+	l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerLeaving})
+	for _, e := range l.entries() {
+		if e.attempt == nil || (e.attempt.step != stepReserving && e.attempt.step != stepDeciding) {
+			continue
+		}
+		for _, m := range e.attempt.members {
+			if m.share.Worker == u.worker.ID {
+				l.abort(now, e, "worker "+string(u.worker.ID)+" is leaving")
+				break
+			}
+		}
 	}
 }
 
-// holding takes over what a fenced agent holds.
+// holding takes over what a fenced agent holds. One that has begun another life
+// at its place may still hold the tasks of its runner.
 func (l *leader) holding(now time.Time, from machine.Node, m wire.Holding) {
-	u, ok := l.workers[m.Worker.ID]
-	if !ok || u.node != from || u.incarnation != m.Incarnation || m.Epoch != l.epoch || !l.ready {
+	if m.Epoch != l.epoch || l.replaced[lifeOf(m.Worker.ID, m.Incarnation)] {
 		return
 	}
-	u.heard = now
-	if u.fenced {
+	u, ok := l.workers[m.Worker.ID]
+	if ok && u.node == from && u.incarnation == m.Incarnation {
+		u.heard = now
 		return
 	}
-	u.fenced = true
-	u.worker = m.Worker
+	if ok {
+		l.replaced[lifeOf(u.worker.ID, u.incarnation)] = true
+	}
+	if ok && u.node != from {
+		l.lose(now, u)
+	}
+	u = &upstream{node: from, worker: m.Worker, incarnation: m.Incarnation, heard: now}
+	l.workers[m.Worker.ID] = u
+	l.dropStrays(u)
 	l.policy.AddWorker(u.worker)
 	l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerJoined})
 	if m.Leaving {
-		u.leaving = true
-		l.policy.DrainWorker(u.worker.ID)
+		l.leave(now, u)
 	}
 	l.reconcile(now, u, m)
 }
@@ -63,7 +119,7 @@
 			continue
 		}
 		for rank, member := range e.attempt.members {
-			if member.share.Worker == u.worker.ID && !held[e.attempt.task(e, rank)] {
+			if member.share.Worker == u.worker.ID && e.attempt.needs(member) && !held[e.attempt.task(e, rank)] {
 				l.loseMember(now, e, member)
 				break
 			}
@@ -72,17 +128,73 @@
 }
 
 func (l *leader) reconcileTask(now time.Time, u *upstream, t wire.TaskState) {
-	_, member := l.member(u.node, t.Task)
+	e, member := l.member(u.node, t.Task)
 	switch {
-	case member == nil && t.Phase == wire.PhaseEnded:
-		l.settleStray(u.node, wire.Ended{Task: t.Task})
 	case member == nil:
-		order := wire.Order{Epoch: l.epoch, Incarnation: u.incarnation}
-		l.gate.send(u.node, wire.Stop{Order: order, Task: t.Task})
-	case t.Phase == wire.PhaseEnded:
+		l.takeStray(u, t)
+	case t.Phase == wire.PhaseStopped:
+		l.halted(now, u.node, wire.Halted{Epoch: l.epoch, Task: t.Task, Ran: true, Reason: "a member was halted"})
+	case t.Phase == wire.PhaseEnded && t.Result != nil:
 		l.memberEnded(now, u.node, wire.Ended{Epoch: l.epoch, Task: t.Task, Result: *t.Result})
+	case e.attempt.step == stepStopping:
+		l.strayTask(u, t.Task)
 	case t.Phase == wire.PhaseRunning:
-		member.running = true
+		member.reserved, member.running = true, true
+	}
+}
+
+// tickWorkers gives up agents that were not heard of, or that leave orders
+// without answers.
+func (l *leader) tickWorkers(now time.Time) {
+	timeout := l.gate.config.AgentTimeout
+	for _, u := range l.list() {
+		if now.Sub(u.heard) > timeout || (!u.asked.IsZero() && now.Sub(u.asked) > timeout) {
+			l.lose(now, u)
+		}
+	}
+	if now.Sub(l.since) > timeout {
+		l.loseAbsent(now)
+	}
+}
+
+// heardSince reports whether every agent has followed this leader since a time:
+// so no other leader has started anything on them before. An agent that was lost
+// after the lease was last confirmed may follow another.
+func (l *leader) heardSince(when time.Time) bool {
+	if l.lost.After(l.gate.elector.Confirmed()) {
+		return false
+	}
+	for _, u := range l.workers {
+		if u.heard.Sub(when) < confirmDelay {
+			return false
+		}
+	}
+	return true
+}
+
+// answered takes note that an agent gets the leader's messages.
+func (l *leader) answered(from machine.Node) {
+	u := l.at(from)
+	if u == nil {
+		return
+	}
+	u.asked = time.Time{}
+	if u.suspect {
+		u.suspect = false
+		if !u.leaving {
+			l.policy.AddWorker(u.worker)
+		}
+	}
+}
+
+// suspect keeps the agents that did not answer a reservation from new work until
+// they answer.
+func (l *leader) suspect(e *entry) {
+	for _, m := range e.attempt.members {
+		if u, ok := l.workers[m.share.Worker]; ok && !m.reserved && !u.suspect {
+			u.suspect = true
+			l.policy.DrainWorker(u.worker.ID)
+		}
 	}
 }
 
@@ -90,6 +202,8 @@
 // member.
 func (l *leader) lose(now time.Time, u *upstream) {
 	delete(l.workers, u.worker.ID)
+	l.lost = now
+	l.dropStrays(u)
 	l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerLost})
 	l.policy.RemoveWorker(u.worker.ID)
 	for _, e := range l.entries() {
@@ -97,7 +211,7 @@
 			continue
 		}
 		for _, member := range e.attempt.members {
-			if member.share.Worker == u.worker.ID && member.result == nil {
+			if member.share.Worker == u.worker.ID && e.attempt.needs(member) {
 				l.loseMember(now, e, member)
 				break
 			}
@@ -105,6 +219,13 @@
 	}
 }
 
+// floorKnown reports whether every agent has had the time to announce itself.
+// Until then no job is refused for want of workers: the gate that asks for it
+// asks again.
+func (l *leader) floorKnown(now time.Time) bool {
+	return now.Sub(l.since) >= l.gate.config.AgentTimeout
+}
+
 // loseAbsent gives up the members whose agents have not come back since the
 // leader began.
 func (l *leader) loseAbsent(now time.Time) {
@@ -113,7 +234,7 @@
 			continue
 		}
 		for _, member := range e.attempt.members {
-			if _, ok := l.workers[member.share.Worker]; !ok && !member.lost && member.result == nil {
+			if _, ok := l.workers[member.share.Worker]; !ok && e.attempt.needs(member) {
 				l.loseMember(now, e, member)
 				break
 			}
@@ -121,6 +242,14 @@
 	}
 }
 
+// needs reports whether an attempt still waits for something of a member.
+func (a *attempt) needs(m *member) bool {
+	if a.step == stepStopping {
+		return !m.stopped && !m.lost
+	}
+	return m.result == nil && !m.lost
+}
+
 func (l *leader) loseMember(now time.Time, e *entry, m *member) {
 	m.lost = true
 	if e.attempt.step == stepStopping {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,13 @@
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
+const (
+	// firstAgentKind and lastAgentKind bound the kinds that agents send to each
+	// other.
+	firstAgentKind Kind = 40
+	lastAgentKind  Kind = 59
+)
+
 type (
 	// Kind tells the type of a message's body. A kind is never reused.
 	Kind uint8
@@ -30,6 +37,7 @@
 
 	entry struct {
 		kind   Kind
+		name   string
 		decode func([]byte) (any, error)
 	}
 )
@@ -47,9 +55,13 @@
 	return fmt.Sprintf("unknown message kind %d", e.Kind)
 }
 
-// Register adds a message type under a kind. It is called from init functions.
+// Register adds a message type under a kind. It is called from init functions,
+// and panics if the kind is taken.
 func Register[T any](kind Kind) {
-	e := entry{kind: kind, decode: func(data []byte) (any, error) {
+	if taken, ok := byKind[kind]; ok {
+		panic(fmt.Sprintf("kind %d is taken by %s", kind, taken.name))
+	}
+	e := entry{kind: kind, name: reflect.TypeFor[T]().Name(), decode: func(data []byte) (any, error) {
 		var body T
 		err := codec.Unmarshal(data, &body)
 		return body, err
@@ -58,6 +70,18 @@
 	byType[reflect.TypeFor[T]()] = e
 }
 
+// FromAgent reports whether an agent may send the message. All others come from
+// gates only.
+func FromAgent(body any) bool {
+	switch body.(type) {
+	case Announce, Holding, Reserved, Running, Stopped, Ended, Described:
+		return true
+	default:
+		kind := byType[reflect.TypeOf(body)].kind
+		return kind >= firstAgentKind && kind <= lastAgentKind
+	}
+}
+
 // Encode returns the bytes of a message.
 func Encode(from machine.Node, body any) ([]byte, error) {
 	e, ok := byType[reflect.TypeOf(body)]
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -3,14 +3,20 @@
 // holders.
 //
 // No clock is compared across processes. A challenger takes the lease over only
-// after the row has not changed for the term on the challenger's own clock. A
-// former holder that is paused may still believe that it holds the lease, so
-// whoever obeys a holder must refuse epochs below the highest that it has seen.
+// after the row has not changed for the term on the challenger's own clock, and
+// counts only time in which the table answered it, so that an outage of the table
+// is not taken for the silence of the holder. A former holder that is paused may
+// still believe that it holds the lease, so whoever obeys a holder must refuse
+// epochs below the highest that it has seen.
+//
+// A second row changes with the epoch only. A holder adds the Guard to its
+// transactions, so that none of them lands after another's epoch has begun.
 package lease
 
 import (
 	"encoding/json"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/lovageroad/lovageroad/pkg/machine"
@@ -20,11 +26,11 @@
 const (
 	// DefaultTerm is how long a row must stay unchanged before a challenger
 	// takes the lease over.
-	DefaultTerm = 6 * time.Second
+	DefaultTerm = 4 * time.Second
 
 	// DefaultRenewal is the time between two renewals of the holder, and between
 	// two reads of a challenger.
-	DefaultRenewal = 2 * time.Second
+	DefaultRenewal = time.Second
 )
 
 type (
@@ -56,7 +62,9 @@
 		store    *machine.Store
 		lease    Lease
 		version  table.Version
+		guard    table.Version
 		seen     time.Time
+		silent   time.Duration
 		next     time.Time
 		held     bool
 		busy     bool
@@ -106,27 +114,51 @@
 	}
 	e.next = now.Add(e.config.Renewal)
 	switch {
-	case e.resigned && !e.held:
-		e.read(now)
-	case e.held, e.expired(now):
-		e.write(now)
+	case e.resigned && e.lease.Holder == e.node && e.version != table.Absent:
+		e.vacate()
+	case e.resigned:
+		e.read()
+	case e.held, e.expired():
+		e.write()
 	default:
-		e.read(now)
+		e.read()
 	}
 	return e.next
 }
 
-// Resign gives the lease up, if it is held, and stops campaigning for it.
+// Guard returns the check that fails once another epoch has begun.
+func (e *Elector) Guard() table.Check {
+	return table.Check{Key: e.guardKey(), Version: e.guard}
+}
+
+// Resign gives the lease up, if it is held, and stops campaigning for it. The
+// holder holds it until the table has the resignation, since until then nobody
+// else can take it.
 func (e *Elector) Resign(now time.Time) {
 	e.resigned = true
+	e.next = now
+	e.Tick(now)
+}
+
+// Confirmed returns when the table last confirmed what is known of the lease.
+func (e *Elector) Confirmed() time.Time {
+	return e.seen
+}
+
+// Vacant reports whether this node neither holds the lease nor is named as its
+// holder.
+func (e *Elector) Vacant() bool {
+	return !e.held && e.lease.Holder != e.node
+}
+
+// Depose makes a holder cease to hold the lease and read its row again.
+func (e *Elector) Depose(now time.Time) {
 	if !e.held {
 		return
 	}
 	e.next = now
 	e.held = false
-	vacant := Lease{Epoch: e.lease.Epoch, Beat: e.lease.Beat + 1}
-	e.commit(vacant, func(machine.Stored) {})
-	e.observe(now, vacant, e.version)
+	e.config.Changed(e.lease, false)
 }
 
 // Observe takes note of an epoch that another process has seen. A holder with a
@@ -136,49 +168,66 @@
 		return
 	}
 	e.next = now
-	e.observe(now, seen, table.Absent)
+	e.observe(seen, table.Absent)
 }
 
-func (e *Elector) expired(now time.Time) bool {
+func (e *Elector) expired() bool {
 	if e.seen.IsZero() {
 		return false
 	}
 	if e.lease.Holder == "" || e.lease.Holder == e.node {
 		return true
 	}
-	return now.Sub(e.seen) >= e.config.Term
+	return e.silent >= e.config.Term
 }
 
-func (e *Elector) read(now time.Time) {
+func (e *Elector) read() {
 	e.busy = true
-	e.store.Read([]table.Key{e.key}, func(result machine.Stored) {
+	e.store.Read([]table.Key{e.key, e.guardKey()}, func(result machine.Stored) {
 		e.busy = false
-		e.accept(now, result)
+		e.accept(result)
 	})
 }
 
-func (e *Elector) accept(now time.Time, result machine.Stored) {
+func (e *Elector) accept(result machine.Stored) {
 	if result.Err != nil {
 		return
 	}
-	if len(result.Rows) == 0 {
-		e.observe(now, Lease{}, table.Absent)
+	stored, version, guard, ok := e.rows(result.Rows)
+	if !ok {
 		return
 	}
-	row := result.Rows[0]
-	var stored Lease
-	if json.Unmarshal(row.Value, &stored) != nil {
-		return
+	e.guard = guard
+	e.observe(stored, version)
+}
+
+// rows returns what the rows of the lease hold.
+func (e *Elector) rows(rows []table.Row) (stored Lease, version, guard table.Version, ok bool) {
+	for _, row := range rows {
+		switch row.Key {
+		case e.key:
+			version = row.Version
+			if json.Unmarshal(row.Value, &stored) != nil {
+				return Lease{}, 0, 0, false
+			}
+		case e.guardKey():
+			guard = row.Version
+		}
 	}
-	e.observe(now, stored, row.Version)
+	return stored, version, guard, true
 }
 
-// observe takes over what the row holds. Reading the unchanged row again does
-// not extend the lease.
-func (e *Elector) observe(now time.Time, current Lease, version table.Version) {
+// observe takes over what the row holds. Each time that it is read unchanged, at
+// most a renewal counts towards the term, so that time in which the table did not
+// answer does not count.
+func (e *Elector) observe(current Lease, version table.Version) {
+	now := e.store.Now()
 	if e.seen.IsZero() || version != e.version || current != e.lease {
-		e.seen = now
+		e.silent = 0
+	} else {
+		e.silent += min(now.Sub(e.seen), e.config.Renewal)
 	}
+	e.seen = now
 	before, held := e.lease, e.held
 	e.lease, e.version = current, version
 	e.held = e.held && current.Holder == e.node && current.Epoch == before.Epoch
@@ -187,61 +236,84 @@
 	}
 }
 
-func (e *Elector) write(now time.Time) {
+func (e *Elector) write() {
 	wanted := Lease{Holder: e.node, Epoch: e.lease.Epoch, Beat: e.lease.Beat + 1}
 	if !e.held {
 		wanted.Epoch++
 	}
 	e.busy = true
-	e.commit(wanted, func(result machine.Stored) {
+	e.commit(wanted, !e.held, func(result machine.Stored) {
+		e.busy = false
+		e.settle(wanted, result)
+	})
+}
+
+// vacate makes a resignation durable.
+func (e *Elector) vacate() {
+	vacant := Lease{Epoch: e.lease.Epoch, Beat: e.lease.Beat + 1}
+	e.busy = true
+	e.commit(vacant, false, func(result machine.Stored) {
 		e.busy = false
-		e.settle(now, wanted, result)
+		if result.Err == nil {
+			e.observe(vacant, result.Rows[0].Version)
+			return
+		}
+		e.read()
 	})
 }
 
-func (e *Elector) commit(wanted Lease, done func(machine.Stored)) {
+func (e *Elector) commit(wanted Lease, begins bool, done func(machine.Stored)) {
 	value, err := json.Marshal(wanted)
 	if err != nil {
 		return
 	}
-	e.store.Commit(table.Txn{
+	txn := table.Txn{
 		Checks: []table.Check{{Key: e.key, Version: e.version}},
 		Writes: []table.Write{{Key: e.key, Value: value}},
-	}, done)
+	}
+	if begins {
+		epoch := strconv.FormatUint(uint64(wanted.Epoch), 10)
+		txn.Writes = append(txn.Writes, table.Write{Key: e.guardKey(), Value: []byte(epoch)})
+	}
+	e.store.Commit(txn, done)
 }
 
-func (e *Elector) settle(now time.Time, wanted Lease, result machine.Stored) {
+func (e *Elector) settle(wanted Lease, result machine.Stored) {
 	var rejected *table.RejectedError
 	switch {
+	case result.Err == nil && len(result.Rows) > 1:
+		e.taken(wanted, result.Rows[0].Version, result.Rows[1].Version)
 	case result.Err == nil:
-		e.taken(now, wanted, result.Rows[0].Version)
+		e.taken(wanted, result.Rows[0].Version, e.guard)
 	case errors.As(result.Err, &rejected):
 		return
 	default:
-		e.readBack(now, wanted)
+		e.readBack(wanted)
 	}
 }
 
 // readBack finds out whether a write took effect whose answer was lost.
-func (e *Elector) readBack(now time.Time, wanted Lease) {
+func (e *Elector) readBack(wanted Lease) {
 	e.busy = true
-	e.store.Read([]table.Key{e.key}, func(result machine.Stored) {
+	e.store.Read([]table.Key{e.key, e.guardKey()}, func(result machine.Stored) {
 		e.busy = false
-		if result.Err == nil && len(result.Rows) == 1 {
-			var stored Lease
-			if json.Unmarshal(result.Rows[0].Value, &stored) == nil && stored == wanted {
-				e.taken(now, wanted, result.Rows[0].Version)
-				return
-			}
+		if stored, version, guard, ok := e.rows(result.Rows); result.Err == nil && ok && stored == wanted {
+			e.taken(wanted, version, guard)
+			return
 		}
-		e.accept(now, result)
+		e.accept(result)
 	})
 }
 
-func (e *Elector) taken(now time.Time, current Lease, version table.Version) {
+func (e *Elector) taken(current Lease, version, guard table.Version) {
 	before, held := e.lease, e.held
-	e.lease, e.version, e.held, e.seen = current, version, !e.resigned, now
+	e.lease, e.version, e.guard, e.held = current, version, guard, held || !e.resigned
+	e.seen, e.silent = e.store.Now(), 0
 	if !held || before.Epoch != current.Epoch {
 		e.config.Changed(e.lease, e.held)
 	}
 }
+
+func (e *Elector) guardKey() table.Key {
+	return e.key + "/epoch"
+}
