Tell the balancer when a gate takes work, and before it closes

Cause: a gate that shut down closed its address at once, so that requests which the balancer still sent were cut; there was no /readyz. The gate's Run is taken apart into the machine with its servers, and the life round it.

--- a/gate.go
+++ b/gate.go
@@ -5,10 +5,8 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
-	"github.com/go-chi/chi/v5"
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
@@ -38,7 +36,6 @@
 
 // Run serves callers, operators and the system's own processes.
 func (g *gateRole) Run(ctx context.Context) error {
-	self := machine.Node(g.settings.Peer)
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	keys, err := g.config.load(g.settings.Keys())
@@ -49,75 +46,63 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewClient(string(g.settings.Platform), newPlatformClient())
-	metrics := prom.NewGate()
-	client, scheme := newClient(keys)
-	sender := peer.NewSender(inner, self, scheme, client, metrics.Dropped)
-	var run *loop.Loop
-	post := func(ctx context.Context, event machine.Event) bool { return run.Post(ctx, event) }
-	callers := caller.New(post, store)
-	overview := console.New(post)
-	operators := operator.New(post, g.settings.Region, g.settings.Operators)
-	core := gate.New(self, g.settings.Region,
-		gate.WithGates(settings.Nodes(g.settings.Gates)...),
-		gate.WithSeed(rand.Uint64()),
-		gate.WithLeaveTimeout(g.settings.Drain*2/3),
-	)
-	left := make(chan struct{})
-	var once sync.Once
-	run = loop.New(self, core,
-		loop.WithStore(store, store),
-		loop.WithSend(sender.Send),
-		loop.WithObserve(metrics.Store),
-		loop.WithHandle(func(effect machine.Effect) {
-			if _, ok := effect.(gate.Left); ok {
-				once.Do(func() { close(left) })
-				return
-			}
-			metrics.Observe(effect)
-			prom.Log(effect)
-			callers.Handle(effect)
-			overview.Handle(effect)
-			operators.Handle(effect)
-		}),
-	)
-	router := chi.NewRouter()
-	callers.Routes(router)
-	overview.Routes(router, operators.Authenticate)
-	operators.Routes(router)
-	router.Handle("/metrics", metrics.Handler())
-	router.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	public, err := serve(g.settings.Listen, router, secure)
+	p := g.newProcess(inner, keys)
+	public, err := serve(g.settings.Listen, p.public(), secure)
 	if err != nil {
 		return err
 	}
 	defer public.Close()
-	own := http.NewServeMux()
-	own.Handle(peer.NewHandler(deliver(inner, run.Post)))
-	private, err := serve(g.settings.Peer, own, serverConfig(keys))
+	private, err := serve(g.settings.Peer, p.private(), serverConfig(keys))
 	if err != nil {
 		return err
 	}
 	defer private.Close()
-	go run.Run(inner)
-	run.Post(inner, gate.Start{})
+	go p.loop.Run(inner)
+	p.post(inner, gate.Start{})
 	klog.InfoS("gate serves", "listen", g.settings.Listen, "peer", g.settings.Peer, "region", g.settings.Region)
 	<-ctx.Done()
-	g.leave(inner, post, public, left)
+	g.leave(inner, p, public)
 	return nil
 }
 
-// leave hands the leadership over and answers what is open, and returns after
-// the longest time of a graceful shutdown at the latest.
-func (g *gateRole) leave(ctx context.Context, post poster, public *http.Server, left <-chan struct{}) {
+// newProcess puts the gate's machine between its servers.
+func (g *gateRole) newProcess(ctx context.Context, keys *mtls.Keys) *gateProcess {
+	self := machine.Node(g.settings.Peer)
+	p := &gateProcess{ctx: ctx, metrics: prom.NewGate(), left: make(chan struct{})}
+	store := platform.NewClient(string(g.settings.Platform), newPlatformClient())
+	client, scheme := newClient(keys)
+	sender := peer.NewSender(ctx, self, scheme, client, p.metrics.Dropped)
+	p.callers = caller.New(p.post, store)
+	p.console = console.New(p.post)
+	p.operators = operator.New(p.post, g.settings.Region, g.settings.Operators)
+	p.probes = loop.NewExchange[gate.RequestID, gate.Probed](p.post)
+	core := gate.New(self, g.settings.Region,
+		gate.WithGates(settings.Nodes(g.settings.Gates)...),
+		gate.WithSeed(rand.Uint64()),
+		gate.WithLeaveTimeout(g.settings.Drain*2/3),
+	)
+	p.loop = loop.New(self, core,
+		loop.WithStore(store, store),
+		loop.WithSend(sender.Send),
+		loop.WithObserve(p.metrics.Store),
+		loop.WithHandle(p.handle),
+	)
+	return p
+}
+
+// leave tells the balancer, hands the leadership over and answers what is open.
+// It returns after the notice and the longest time of a graceful shutdown at the
+// latest.
+func (g *gateRole) leave(ctx context.Context, p *gateProcess, public *http.Server) {
+	p.post(ctx, gate.Leave{})
+	<-time.After(g.settings.Notice)
 	drain, cancel := context.WithTimeout(ctx, g.settings.Drain)
 	defer cancel()
-	post(drain, gate.Leave{})
 	if err := public.Shutdown(drain); err != nil {
 		klog.InfoS("gate shut down with requests open", "reason", err)
 	}
 	select {
-	case <-left:
+	case <-p.left:
 	case <-drain.Done():
 		klog.InfoS("gate shut down before its leadership was handed over")
 	}
--- a/internal/command/dev.go
+++ b/internal/command/dev.go
@@ -27,6 +27,7 @@
 	devAgents  = 4
 	devPort    = 7100
 	devDrain   = 5 * time.Second
+	devNotice  = 10 * time.Millisecond
 	devRetry   = 100 * time.Millisecond
 
 	devOperator      = "dev"
@@ -68,7 +69,7 @@
 	for i := range devGates {
 		values := lovageroad.GateSettings{
 			Listen: public[i], Peer: peers[i], Region: devRegion, Platform: platformURL,
-			Gates: peers, Drain: devDrain, Place: "dc-1",
+			Gates: peers, Drain: devDrain, Notice: devNotice, Place: "dc-1",
 			Operators: settings.Operators{{Name: devOperator, Hash: account.HashToken(devOperatorToken)}},
 		}
 		group.Go(func() error { return lovageroad.NewGate(values, gateKeys).Run(ctx) })
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -128,6 +128,8 @@
 		g.receive(now, e)
 	case Inspect:
 		g.inspector.request(now, e)
+	case Probe:
+		g.probe(now, e)
 	case Edit, View, Recall:
 		g.directory.operate(now, e)
 	default:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,7 @@
 		Platform          URL                `ini:"platform" help:"base URL of the table service and object store"`
 		Gates             []Address          `ini:"gates" help:"peer addresses of all gates of the region"`
 		Drain             time.Duration      `ini:"drain" default:"30s" help:"longest time of a graceful shutdown"`
+		Notice            time.Duration      `ini:"notice" default:"5s" help:"time in which the balancer notices that the gate shuts down"`
 		Place             floor.DataCentreID `ini:"datacentre" help:"data centre of this VM"`
 		Certificate       File               `ini:"certificate" optional:"yes" help:"PEM file of this process's certificate"`
 		Key               File               `ini:"key" optional:"yes" help:"PEM file of the certificate's key"`
