--- a/internal/gate/operators_test.go
+++ b/internal/gate/operators_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/lovageroad/lovageroad/internal/wire"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/revision"
+	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
 // operated is a region whose operators change settings. It checks after every
@@ -49,13 +51,14 @@
 		if edited, ok := effect.(gate.Edited); ok {
 			o.answers[edited.Request] = edited
 		}
-		send, ok := effect.(machine.Send)
-		submit, isSubmit := send.Body.(wire.Submit)
-		if ok && isSubmit {
-			if err := o.checkSubmit(submit); err != nil {
-				return err
+		if send, ok := effect.(machine.Send); ok {
+			if submit, ok := send.Body.(wire.Submit); ok && o.old(submit.Revision) {
+				return fmt.Errorf("work is submitted under the old revision %d", submit.Revision)
 			}
 		}
+		if commit, ok := effect.(machine.Commit); ok && admits(trace.Event, commit) && o.old(revisionOf(trace.Process)) {
+			return fmt.Errorf("work is accepted under the old revision %d", revisionOf(trace.Process))
+		}
 	}
 	number := revisionOf(trace.Process)
 	name := fmt.Sprint(trace.Process.Node(), " ", trace.Process.Life())
@@ -69,13 +72,34 @@
 	return nil
 }
 
-func (o *operated) checkSubmit(m wire.Submit) error {
+// old reports whether a newer revision was known for longer than the bound, and
+// the store was well meanwhile.
+func (o *operated) old(held revision.Number) bool {
 	for number, first := range o.first {
-		if number > m.Revision && o.Elapsed()-first > gate.SettingsBound && !o.Store.FaultyWithin(gate.SettingsBound) {
-			return fmt.Errorf("new work under revision %d, %v after revision %d", m.Revision, o.Elapsed()-first, number)
+		if number > held && o.Elapsed()-first > gate.SettingsBound && !o.Store.FaultyWithin(gate.SettingsBound) {
+			return true
 		}
 	}
-	return nil
+	return false
+}
+
+// admits reports whether a leader takes a submission and makes a new job durable.
+func admits(event machine.Event, commit machine.Commit) bool {
+	message, _ := event.(machine.Message)
+	if _, ok := message.Body.(wire.Submit); !ok {
+		return false
+	}
+	for _, check := range commit.Txn.Checks {
+		if check.Version != table.Absent || !strings.HasPrefix(string(check.Key), "live/") {
+			continue
+		}
+		for _, write := range commit.Txn.Writes {
+			if write.Key == check.Key && !write.Delete {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func revisionOf(p *lab.Process) revision.Number {
