Do not answer an agent whose settings are newer than its leader's

Cause: a leader that lacked a revision fenced an agent that held it; the agent refused and announced itself at once, and was fenced again, at the speed of the link, and with doubled messages without end. The leader takes note of the agent and answers once it has the revision. TestNewerAgent was seen to fail without either of the two conditions.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -248,7 +248,9 @@
 	}
 }
 
-// announced answers an agent: as its leader, or by naming its leader.
+// announced answers an agent: as its leader, or by naming its leader. An agent
+// with newer settings cannot be fenced yet; it gets no answer, since it would
+// announce itself again at once.
 func (g *Gate) announced(now time.Time, from machine.Node, m wire.Announce) {
 	if m.Worker.Region != g.config.Region {
 		return
@@ -263,6 +265,9 @@
 	if held && g.leader != nil {
 		g.leader.announced(now, from, m)
 	}
+	if held && m.Epoch < current.Epoch && m.Revision > g.directory.revision() {
+		return
+	}
 	g.send(from, wire.Redirect{Leader: current.Holder, Epoch: current.Epoch, Revision: g.directory.revision()})
 }
 
--- a/internal/gate/settings_test.go
+++ b/internal/gate/settings_test.go
@@ -214,6 +214,34 @@
 	}
 }
 
+// TestNewerAgent announces an agent that holds newer settings than its leader. An
+// answer would make it announce itself at once, and so on at the speed of the link.
+func TestNewerAgent(t *testing.T) {
+	for _, newer := range []bool{false, true} {
+		o := newOperated(t, 1, 1, 0)
+		o.until(time.Minute, func() bool { return o.Leader() != nil })
+		o.run(10 * time.Second)
+		announce := wire.Announce{Worker: floor.Worker{ID: "worker", Region: lab.RegionID}, Incarnation: 1}
+		if newer {
+			announce.Revision = 99
+		}
+		answers := 0
+		o.Watch(func(trace lab.Trace) error {
+			for _, effect := range trace.Effects {
+				if send, ok := effect.(machine.Send); ok && send.To == "agent" {
+					answers++
+				}
+			}
+			return nil
+		})
+		o.Gates[0].Post(machine.Message{From: "agent", Body: announce})
+		o.run(time.Second)
+		if (answers == 0) != newer {
+			t.Errorf("newer %v: %d answers", newer, answers)
+		}
+	}
+}
+
 // TestSpread measures the time from an operator's request until the change is in
 // force at all gates and agents, over lossy links.
 func TestSpread(t *testing.T) {
--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -23,7 +23,9 @@
 	}
 	u.heard = now
 	if !u.fenced || m.Epoch < l.epoch {
-		l.gate.send(from, wire.Fence{Epoch: l.epoch, Revision: l.gate.directory.revision()})
+		if m.Revision <= l.gate.directory.revision() {
+			l.gate.send(from, wire.Fence{Epoch: l.epoch, Revision: l.gate.directory.revision()})
+		}
 		return
 	}
 	if m.Leaving && !u.leaving {
