--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -43,7 +43,8 @@
 func (l *leader) announced(now time.Time, from machine.Node, m wire.Announce) bool {
 	u, ok := l.workers[m.Worker.ID]
 	if !ok || u.node != from || u.incarnation != m.Incarnation || m.Epoch < l.epoch {
-		if l.ready && !l.replaced[lifeOf(m.Worker.ID, m.Incarnation)] {
+		fenceable := l.ready && m.Revision <= l.gate.directory.revision()
+		if fenceable && !l.replaced[lifeOf(m.Worker.ID, m.Incarnation)] {
 			l.gate.send(from, wire.Fence{Epoch: l.epoch, Revision: l.gate.directory.revision()})
 		}
 		return false
