--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -27,17 +27,17 @@
 	faults = flag.String("measure.faults", "", "faults to run, with commas between; all if empty")
 	detail = flag.Bool("measure.detail", false, "print each account and class, and each finding")
 
-	candidates = append(slices.Clone(bench.Baselines), bench.Candidate{
+	candidates = append(slices.Clone(baselines), candidate{
 		Name: measured,
 		New:  func() scheduler.Policy { return scheduler.New() },
 	})
 
-	agronomy = sync.OnceValue(func() []bench.Row { return run(bench.Agronomy()) })
-	council  = sync.OnceValue(func() []bench.Row { return run(bench.Council()) })
-	target   = sync.OnceValue(func() []bench.Row { return run(bench.Target(time.Duration(*hours) * time.Hour)) })
+	agronomy = sync.OnceValue(func() []row { return run(bench.Agronomy()) })
+	council  = sync.OnceValue(func() []row { return run(bench.Council()) })
+	target   = sync.OnceValue(func() []row { return run(bench.Target(time.Duration(*hours) * time.Hour)) })
 )
 
-func run(load bench.Workload) []bench.Row {
+func run(load bench.Workload) []row {
 	chosen := bench.Faults
 	if *faults != "" {
 		chosen = nil
@@ -45,7 +45,7 @@
 			chosen = append(chosen, bench.Fault(name))
 		}
 	}
-	return bench.Suite(load, chosen, candidates, *seed)
+	return suite(load, chosen, candidates, *seed)
 }
 
 // TestMeasure prints what docs/MEASUREMENTS.md holds, and checks what must hold
@@ -53,7 +53,7 @@
 func TestMeasure(t *testing.T) {
 	for _, load := range []struct {
 		load bench.Workload
-		rows func() []bench.Row
+		rows func() []row
 	}{
 		{bench.Agronomy(), agronomy},
 		{bench.Council(), council},
@@ -73,14 +73,14 @@
 	}
 }
 
-func show(rows []bench.Row) {
+func show(rows []row) {
 	if !testing.Verbose() {
 		return
 	}
-	bench.WriteSummary(os.Stdout, rows)
+	writeSummary(os.Stdout, rows)
 	for _, row := range rows {
 		if *detail && row.Policy == measured {
-			bench.WriteGroups(os.Stdout, row)
+			writeGroups(os.Stdout, row)
 			fmt.Println(strings.Join(slices.Concat(row.Result.Violated, row.Result.Starved), "\n"))
 		}
 	}
@@ -88,12 +88,12 @@
 
 // compare calls a check with the policy's result and those of the baselines
 // under each fault.
-func compare(rows []bench.Row, check func(fault bench.Fault, ours *bench.Result, baselines []*bench.Result)) {
+func compare(rows []row, check func(fault bench.Fault, ours *bench.Result, others []*bench.Result)) {
 	for rest := rows; len(rest) > 0; rest = rest[len(candidates):] {
-		var baselines []*bench.Result
+		var others []*bench.Result
 		for _, row := range rest[:len(candidates)-1] {
-			baselines = append(baselines, row.Result)
+			others = append(others, row.Result)
 		}
-		check(rest[0].Fault, rest[len(candidates)-1].Result, baselines)
+		check(rest[0].Fault, rest[len(candidates)-1].Result, others)
 	}
 }
--- a/internal/bench/bounds_test.go
+++ b/internal/bench/bounds_test.go
@@ -39,7 +39,7 @@
 // job that may run again is not failed for good. One that may not is ended by
 // its first failure, so a bad worker spoils at most what fills its slots before
 // that failure is known.
-func testEnd(t *testing.T, load bench.Workload, rows []bench.Row) {
+func testEnd(t *testing.T, load bench.Workload, rows []row) {
 	compare(rows, func(fault bench.Fault, ours *bench.Result, _ []*bench.Result) {
 		if ours.Never > 0 {
 			t.Errorf("%s: %d jobs never ended", fault, ours.Never)
@@ -54,7 +54,7 @@
 }
 
 // testGuarantees checks that no claim on a guarantee waits beyond the bound.
-func testGuarantees(t *testing.T, rows []bench.Row) {
+func testGuarantees(t *testing.T, rows []row) {
 	compare(rows, func(fault bench.Fault, ours *bench.Result, _ []*bench.Result) {
 		for _, v := range ours.Violated {
 			t.Errorf("%s: %s", fault, v)
@@ -62,7 +62,7 @@
 	})
 }
 
-func testStarvation(t *testing.T, rows []bench.Row) {
+func testStarvation(t *testing.T, rows []row) {
 	compare(rows, func(fault bench.Fault, ours *bench.Result, _ []*bench.Result) {
 		if n := len(ours.Starved); n > 0 {
 			t.Errorf("%s: %d starved, the first is %s", fault, n, ours.Starved[0])
@@ -70,7 +70,7 @@
 	})
 }
 
-func testUrgentStart(t *testing.T, rows []bench.Row) {
+func testUrgentStart(t *testing.T, rows []row) {
 	compare(rows, func(fault bench.Fault, ours *bench.Result, _ []*bench.Result) {
 		if got := ours.Urgent.Wait.Percentile(0.99); got > bench.UrgentBound {
 			t.Errorf("%s: urgent work starts in %v at p99, want %v", fault, got, bench.UrgentBound)
@@ -80,10 +80,10 @@
 
 // testCompletion checks that the mean completion time is below that of both
 // baselines, and that the bound is below all.
-func testCompletion(t *testing.T, rows []bench.Row) {
-	compare(rows, func(fault bench.Fault, ours *bench.Result, baselines []*bench.Result) {
+func testCompletion(t *testing.T, rows []row) {
+	compare(rows, func(fault bench.Fault, ours *bench.Result, others []*bench.Result) {
 		got := ours.All.Completion.Mean()
-		for _, b := range baselines {
+		for _, b := range others {
 			if want := b.All.Completion.Mean(); got >= want {
 				t.Errorf("%s: mean completion is %v, want below %v", fault, got.Round(time.Second), want.Round(time.Second))
 			}
@@ -94,10 +94,10 @@
 	})
 }
 
-func testLargeJobs(t *testing.T, rows []bench.Row) {
-	compare(rows, func(fault bench.Fault, ours *bench.Result, baselines []*bench.Result) {
+func testLargeJobs(t *testing.T, rows []row) {
+	compare(rows, func(fault bench.Fault, ours *bench.Result, others []*bench.Result) {
 		got := ours.Large.Completion.Percentile(0.99)
-		for _, b := range baselines {
+		for _, b := range others {
 			if want := b.Large.Completion.Percentile(0.99); got >= want {
 				t.Errorf("%s: large jobs take %v at p99, want below %v", fault, got.Round(time.Second), want.Round(time.Second))
 			}
@@ -105,9 +105,9 @@
 	})
 }
 
-func testFragmentation(t *testing.T, rows []bench.Row) {
-	compare(rows, func(fault bench.Fault, ours *bench.Result, baselines []*bench.Result) {
-		better := min(baselines[0].Fragmentation, baselines[1].Fragmentation)
+func testFragmentation(t *testing.T, rows []row) {
+	compare(rows, func(fault bench.Fault, ours *bench.Result, others []*bench.Result) {
+		better := min(others[0].Fragmentation, others[1].Fragmentation)
 		if got, want := ours.Fragmentation, better*fragmentationShare; got > want {
 			t.Errorf("%s: fragmentation is %.3f, want at most %.3f", fault, got, want)
 		}
--- a/internal/bench/suite.go
+++ b/internal/bench/suite_test.go
@@ -1,9 +1,10 @@
-package bench
+package bench_test
 
 import (
 	"sync"
 
 	"github.com/lovageroad/lovageroad/internal/baseline"
+	"github.com/lovageroad/lovageroad/internal/bench"
 	"github.com/lovageroad/lovageroad/internal/scheduler"
 )
 
@@ -13,38 +14,38 @@
 )
 
 type (
-	// Candidate is a policy to measure.
-	Candidate struct {
+	// candidate is a policy to measure.
+	candidate struct {
 		Name string
 		New  func() scheduler.Policy
 	}
 
-	// Row is the result of one run.
-	Row struct {
+	// row is the result of one run.
+	row struct {
 		Workload string
-		Fault    Fault
+		Fault    bench.Fault
 		Policy   string
-		Result   *Result
+		Result   *bench.Result
 	}
 )
 
-// Baselines are the policies to compare with.
-var Baselines = []Candidate{
+// baselines are the policies to compare with.
+var baselines = []candidate{
 	{Name: "firstfit", New: baseline.NewFirstFit},
 	{Name: "backfill", New: baseline.NewBackfill},
 }
 
-// Suite runs each policy under each fault, and returns the results in that order.
-func Suite(load Workload, faults []Fault, candidates []Candidate, seed uint64) []Row {
-	rows := make([]Row, len(faults)*len(candidates))
+// suite runs each policy under each fault, and returns the results in that order.
+func suite(load bench.Workload, faults []bench.Fault, candidates []candidate, seed uint64) []row {
+	rows := make([]row, len(faults)*len(candidates))
 	var group sync.WaitGroup
 	tokens := make(chan struct{}, parallel)
 	for i := range rows {
 		c := candidates[i%len(candidates)]
-		rows[i] = Row{Workload: load.Name, Fault: faults[i/len(candidates)], Policy: c.Name}
+		rows[i] = row{Workload: load.Name, Fault: faults[i/len(candidates)], Policy: c.Name}
 		tokens <- struct{}{}
 		group.Go(func() {
-			rows[i].Result = Run(load, rows[i].Fault, c.New(), seed)
+			rows[i].Result = bench.Run(load, rows[i].Fault, c.New(), seed)
 			<-tokens
 		})
 	}
