--- a/internal/agent/restart_test.go
+++ b/internal/agent/restart_test.go
@@ -66,3 +66,24 @@
 	b.order(wire.Stop{Order: former, Task: taskID})
 	expect[agent.StopTask](b)
 }
+
+// TestOlderLeader looks for its leader elsewhere though a former leader answers.
+func TestOlderLeader(t *testing.T) {
+	b := newBench(t)
+	b.agent = agent.New(worker, []machine.Node{leader, "gate-2"}, agent.WithIncarnation(incarnation))
+	b.step(agent.Start{})
+	b.order(wire.Fence{Epoch: order.Epoch})
+	b.effects = nil
+	b.pass(20*second, func() {
+		b.step(machine.Message{From: "gate-2", Body: wire.Redirect{Leader: "gate-2", Epoch: order.Epoch - 1}})
+	})
+	elsewhere := 0
+	for _, effect := range b.effects {
+		if send, ok := effect.(machine.Send); ok && send.To == "gate-2" {
+			elsewhere++
+		}
+	}
+	if elsewhere < 3 {
+		t.Errorf("it asks another gate %d times", elsewhere)
+	}
+}
