--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,6 +70,7 @@
 		started  bool
 		epoch    lease.Epoch
 		leader   machine.Node
+		pointed  lease.Epoch
 		heard    time.Time
 		revision wire.Revision
 		gate     int
@@ -213,6 +214,7 @@
 // heard from a leader asks one gate after the other.
 func (a *Agent) sendAnnounce(now time.Time) {
 	a.announce = now.Add(a.config.Heartbeat)
+	a.pointed = a.epoch
 	to := a.leader
 	if to == "" || now.Sub(a.heard) > a.config.LeaderTimeout {
 		a.gate = (a.gate + 1) % len(a.config.Gates)
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -30,6 +30,10 @@
 		if a.obeys(now, message.From, m.Order) {
 			a.settled(now, m)
 		}
+	case wire.Describe:
+		if a.obeys(now, message.From, m.Order) {
+			a.describe(m)
+		}
 	case wire.Throttle:
 		if a.obeys(now, message.From, m.Order) {
 			a.throttle(m)
@@ -48,7 +52,8 @@
 	if from == m.Leader {
 		a.heard = now
 	}
-	if m.Leader != a.leader && m.Epoch > a.epoch {
+	if m.Leader != a.leader && m.Epoch > a.pointed {
+		a.pointed = m.Epoch
 		a.send(m.Leader, a.announcement())
 	}
 }
@@ -106,6 +111,7 @@
 	default:
 		t := a.newTask(now, m.Task, m.Share, m.Peers)
 		t.spec = m.Spec
+		t.body = m.Body
 	}
 	a.send(a.leader, reply)
 }
@@ -168,6 +174,13 @@
 	a.send(a.leader, wire.Stopped{Epoch: a.epoch, Task: m.Task, Ran: t.phase != wire.PhaseReserved})
 }
 
+// describe tells a new leader of a job that the table does not know.
+func (a *Agent) describe(m wire.Describe) {
+	if t, ok := a.tasks[m.Task]; ok && t.body != "" {
+		a.send(a.leader, wire.Described{Epoch: a.epoch, Task: t.id, Spec: t.spec, Body: t.body})
+	}
+}
+
 func (a *Agent) throttle(m wire.Throttle) {
 	if t, ok := a.tasks[m.Task]; ok && t.phase == wire.PhaseRunning {
 		a.emit(ThrottleTask{Task: m.Task, Slow: m.Slow})
--- a/internal/gate/halted.go
+++ b/internal/gate/halted.go
@@ -11,22 +11,14 @@
 // not told to stop. An agent that halted a task of no live attempt is let go of
 // it.
 func (l *leader) halted(now time.Time, from machine.Node, m wire.Halted) {
-	if !l.ready {
-		return
-	}
+	l.answered(from)
 	e, member := l.member(from, m.Task)
 	if member == nil {
-		l.stopStray(from, m.Task)
+		if u := l.at(from); u != nil {
+			l.strayTask(u, m.Task)
+		}
 		return
 	}
 	member.ran = member.ran || m.Ran
 	l.abort(now, e, m.Reason)
 }
-
-// stopStray stops a task that belongs to no live attempt.
-func (l *leader) stopStray(from machine.Node, id wire.TaskID) {
-	if u := l.at(from); u != nil && u.fenced {
-		order := wire.Order{Epoch: l.epoch, Revision: l.gate.directory.revision(), Incarnation: u.incarnation}
-		l.gate.send(from, wire.Stop{Order: order, Task: id})
-	}
-}
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"errors"
 	"slices"
 	"time"
 
@@ -23,71 +22,109 @@
 type (
 	// leader schedules one region under one epoch.
 	leader struct {
-		gate    *Gate
-		epoch   lease.Epoch
-		policy  scheduler.Policy
-		ready   bool
-		since   time.Time
-		workers map[floor.WorkerID]*upstream
-		jobs    map[job.ID]*entry
-	}
-
-	// upstream is an agent as its leader knows it.
-	upstream struct {
-		node        machine.Node
-		worker      floor.Worker
-		incarnation wire.Incarnation
-		fenced      bool
-		leaving     bool
-		heard       time.Time
+		gate     *Gate
+		epoch    lease.Epoch
+		policy   *tracked
+		writer   *writer
+		past     *past
+		ready    bool
+		scanned  table.Key
+		scanning bool
+		since    time.Time
+		lost     time.Time
+		workers  map[floor.WorkerID]*upstream
+		members  *members
+		replaced map[agentLife]bool
+		jobs     *roster[job.ID, *entry]
+		strays   map[wire.TaskID]*stray
+		found    map[job.ID]map[wire.TaskID]*found
 	}
 
 	// entry is a job as its leader knows it.
 	entry struct {
 		record   job.Record
 		version  table.Version
-		durable  bool
-		writing  bool
-		retry    time.Time
 		saved    func(now time.Time)
 		watchers []machine.Node
 		attempt  *attempt
-		ended    time.Time
+
+		// durable says that the table has the record as it stands, accepted that
+		// it has some record of the job, and queued that the record is to be
+		// written.
+		durable  bool
+		accepted bool
+		queued   bool
+
+		// issued says that a write of the job is under way, and doubt that one may
+		// take effect that was not confirmed.
+		issued bool
+		doubt  bool
+
+		// waits says that a caller waits for the end, volatile that the job may
+		// start without a durable record, admitted that the policy was asked, and
+		// dropped that the job is forgotten.
+		waits    bool
+		volatile bool
+		admitted bool
+		dropped  bool
+		asked    time.Time
+		deadline time.Time
+
+		// confirm is when a gate asked for the job last.
+		confirm time.Time
+
+		// parked says that the policy does not know of the job until a time.
+		parked bool
+		until  time.Time
+		tried  job.Attempt
+		aborts int
+		ended  time.Time
 	}
 )
 
 func newLeader(g *Gate, epoch lease.Epoch) *leader {
-	return &leader{
-		gate:    g,
-		epoch:   epoch,
-		policy:  g.config.Policy(),
-		workers: make(map[floor.WorkerID]*upstream),
-		jobs:    make(map[job.ID]*entry),
+	l := &leader{
+		gate:     g,
+		epoch:    epoch,
+		policy:   &tracked{Policy: g.config.Policy()},
+		workers:  make(map[floor.WorkerID]*upstream),
+		members:  newMembers(),
+		replaced: make(map[agentLife]bool),
+		jobs:     newRoster[job.ID, *entry](),
+		strays:   make(map[wire.TaskID]*stray),
+		found:    make(map[job.ID]map[wire.TaskID]*found),
 	}
+	l.writer = newWriter(l)
+	l.past = newPast(l)
+	return l
 }
 
 // recover reads all live jobs of the region.
 func (l *leader) recover(now time.Time) {
 	l.since = now
 	l.gate.directory.apply(l.policy)
-	l.scan(now, "")
+	l.scan()
 }
 
-func (l *leader) scan(now time.Time, after table.Key) {
+func (l *leader) scan() {
 	prefix := liveKey(l.gate.config.Region, "")
-	l.gate.store.Scan(prefix, after, scanLimit, func(result machine.Stored) {
+	l.scanning = true
+	l.gate.store.Scan(prefix, l.scanned, scanLimit, func(result machine.Stored) {
+		l.scanning = false
 		if l.gate.leader != l {
 			return
 		}
 		if result.Err != nil {
-			l.scan(now, after)
+			l.writer.retry.Failed(l.gate.now, operationScan)
 			return
 		}
+		l.writer.retry.Succeeded(operationScan)
 		for _, row := range result.Rows {
-			l.restore(now, row)
+			l.restore(l.gate.now, row)
 		}
 		if len(result.Rows) == scanLimit {
-			l.scan(now, result.Rows[scanLimit-1].Key)
+			l.scanned = result.Rows[scanLimit-1].Key
+			l.scan()
 			return
 		}
 		l.ready = true
@@ -99,64 +136,49 @@
 	if json.Unmarshal(row.Value, &record) != nil {
 		return
 	}
-	e := &entry{record: record, version: row.Version, durable: true}
-	l.jobs[record.ID] = e
+	e := &entry{record: record, version: row.Version, durable: true, accepted: true, admitted: true}
+	l.jobs.Put(record.ID, e)
+	if record.State == job.StateQueued && record.Spec.Idempotent {
+		e.parked = true
+		e.until = now.Add(adoptDelay)
+		return
+	}
 	l.policy.Restore(now, described(record), record.Placement)
 	if record.State == job.StateStarted {
 		e.attempt = newAttempt(record.Attempt, record.Epoch, record.Placement, stepRunning)
+		e.record.Begun = true
 	}
 }
 
-// submit accepts a job or refuses it, and tells the gate that asks.
-func (l *leader) submit(now time.Time, from machine.Node, m wire.Submit) {
-	if !l.ready {
-		return
-	}
-	if e, ok := l.jobs[m.ID]; ok {
-		e.watch(from)
-		l.report(e)
-		return
-	}
-	if !l.gate.directory.admits(now, m.Revision) {
-		return
-	}
-	e := &entry{record: job.Record{
-		ID:        m.ID,
-		Spec:      m.Spec,
-		Body:      m.Body,
-		State:     job.StateQueued,
-		Submitted: now,
-	}}
-	var refused *scheduler.RefusedError
-	err := l.policy.Admit(now, described(e.record))
-	if errors.As(err, &refused) && refused.Never && !l.floorKnown(now) {
+// report tells the watchers of a job its state once that is durable. The end of a
+// job that ran whole is told without, since its agents keep the result.
+func (l *leader) report(e *entry) {
+	status := wire.Status{Known: true, Record: e.record, Volatile: !e.durable}
+	status.Record.Spec.Input = nil
+	if !e.durable && !l.tellable(e) {
 		return
 	}
-	e.watch(from)
-	l.jobs[m.ID] = e
-	if refused != nil {
-		e.record.State = job.StateRefused
-		e.record.Ran = job.NotRun
-		e.record.Reason = refused.Reason
-		e.record.Never = refused.Never
-		e.record.Ended = now
-		e.ended = now
-		l.gate.observeEnd(e.record)
+	for _, node := range e.watchers {
+		l.gate.send(node, status)
 	}
-	l.save(now, e)
 }
 
-// report tells the watchers of a job its state once that is durable.
-func (l *leader) report(e *entry) {
-	if !e.durable {
-		return
+// tellable reports whether callers may be told of a record that is not durable:
+// the store is away, and the job is done or was refused before any write.
+func (l *leader) tellable(e *entry) bool {
+	if !l.writer.stalled(l.gate.now) {
+		return false
 	}
-	for _, node := range e.watchers {
-		l.gate.send(node, wire.Status{Known: true, Record: e.record})
+	if e.record.State == job.StateDone {
+		return true
 	}
+	return e.record.State == job.StateRefused && !e.accepted && !e.doubt && l.heardSince(e.confirm)
 }
 
 func (l *leader) receive(now time.Time, message machine.Message) {
+	if !l.ready {
+		return
+	}
 	switch m := message.Body.(type) {
 	case wire.Watch:
 		l.watched(message.From, m)
@@ -174,89 +196,92 @@
 		l.stopped(now, message.From, m)
 	case wire.Ended:
 		l.memberEnded(now, message.From, m)
+	case wire.Described:
+		l.described(now, message.From, m)
 	case wire.Halted:
 		l.halted(now, message.From, m)
 	}
 }
 
-func (l *leader) watched(from machine.Node, m wire.Watch) {
+// tick repeats what was not answered and finds out who is lost.
+func (l *leader) tick(now time.Time) {
 	if !l.ready {
+		if !l.scanning && l.writer.retry.Ready(now, operationScan) {
+			l.scan()
+		}
 		return
 	}
-	for _, id := range m.Jobs {
-		e, ok := l.jobs[id]
-		if !ok {
-			l.gate.send(from, wire.Status{Record: job.Record{ID: id}})
-			continue
-		}
-		e.watch(from)
-		l.report(e)
+	l.past.tick(now)
+	l.tickWorkers(now)
+	l.tickStrays(now)
+	l.tickFound(now)
+	stalled := l.writer.stalled(now)
+	for e := range l.jobs.All() {
+		l.tickEntry(now, e, stalled)
 	}
 }
 
-func (l *leader) cancel(now time.Time, from machine.Node, m wire.Cancel) {
-	if !l.ready {
-		return
-	}
-	e, ok := l.jobs[m.ID]
-	if !ok || e.record.Spec.Account != m.Account {
-		l.gate.send(from, wire.Status{Record: job.Record{ID: m.ID}})
-		return
+func (l *leader) tickEntry(now time.Time, e *entry, stalled bool) {
+	if stalled && !e.durable {
+		l.bypass(now, e)
 	}
-	e.watch(from)
 	switch {
 	case e.record.State.Final():
-		l.report(e)
+		if e.durable && now.Sub(e.ended) > l.gate.config.Remember {
+			l.jobs.Delete(e.record.ID)
+		}
 	case e.attempt != nil:
-		e.attempt.cancel = true
-		l.abort(now, e, "cancelled by its caller")
-	default:
-		l.finish(now, e, job.StateCancelled, job.NotRun, "cancelled by its caller")
+		l.tickAttempt(now, e)
+	case !e.admitted && !stalled:
+		l.admit(now, e)
+	case e.admitted && e.parked:
+		l.unpark(now, e)
+	case !e.accepted && !e.issued && !e.doubt && !e.volatile && !now.Before(e.deadline):
+		l.drop(now, e)
 	}
 }
 
-// tick repeats what was not answered and finds out who is lost.
-func (l *leader) tick(now time.Time) {
+// act carries out what the policy decides, and writes what has changed.
+func (l *leader) act(now time.Time) {
 	if !l.ready {
 		return
 	}
-	for _, u := range l.list() {
-		if now.Sub(u.heard) > l.gate.config.AgentTimeout {
-			l.lose(now, u)
+	for l.policy.due(now) && !l.gate.departure.leaving {
+		l.policy.changed = false
+		decisions := l.policy.Decide(now)
+		for _, decision := range decisions {
+			l.carry(now, decision)
+		}
+		if len(decisions) == 0 {
+			break
 		}
 	}
-	if now.Sub(l.since) > l.gate.config.AgentTimeout {
-		l.loseAbsent(now)
-	}
-	for _, e := range l.entries() {
-		l.tickEntry(now, e)
+	if wake := l.policy.Wake(); wake.After(now) {
+		l.gate.emit(machine.Wake{At: wake})
 	}
+	l.writer.flush(now)
 }
 
-func (l *leader) tickEntry(now time.Time, e *entry) {
-	switch {
-	case !e.durable && !e.writing && !now.Before(e.retry):
-		l.save(now, e)
-	case e.attempt != nil:
-		l.tickAttempt(now, e)
-	case e.durable && !e.ended.IsZero() && now.Sub(e.ended) > l.gate.config.Remember:
-		delete(l.jobs, e.record.ID)
+func (l *leader) carry(now time.Time, decision scheduler.Decision) {
+	switch d := decision.(type) {
+	case scheduler.Start:
+		l.start(now, l.job(d.Job), d.Placement)
+	case scheduler.Reclaim:
+		l.reclaim(now, l.job(d.Job), d)
+	case scheduler.Throttle:
+		l.throttle(now, l.job(d.Job), d.Slow)
 	}
 }
 
-// decide carries out what the policy decides.
-func (l *leader) decide(now time.Time) {
-	if !l.ready {
-		return
-	}
-	for _, decision := range l.policy.Decide(now) {
-		switch d := decision.(type) {
-		case scheduler.Start:
-			l.start(now, l.jobs[d.Job], d.Placement)
-		case scheduler.Reclaim:
-			l.abort(now, l.jobs[d.Job], "reclaimed")
-		}
-	}
+// job returns a job that the policy knows.
+func (l *leader) job(id job.ID) *entry {
+	e, _ := l.jobs.Get(id)
+	return e
+}
+
+// idle reports whether nothing is lost if this gate ceases to lead.
+func (l *leader) idle() bool {
+	return l.writer.idle()
 }
 
 func (l *leader) list() []*upstream {
@@ -268,15 +293,6 @@
 	return list
 }
 
-func (l *leader) entries() []*entry {
-	list := make([]*entry, 0, len(l.jobs))
-	for _, e := range l.jobs {
-		list = append(list, e)
-	}
-	slices.SortFunc(list, func(x, y *entry) int { return cmp.Compare(x.record.ID, y.record.ID) })
-	return list
-}
-
 func (e *entry) watch(node machine.Node) {
 	if !slices.Contains(e.watchers, node) {
 		e.watchers = append(e.watchers, node)
--- a/internal/gate/save.go
+++ b/internal/gate/save.go
@@ -2,79 +2,28 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"time"
 
-	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/job"
-	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/internal/scheduler"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
-// save writes the record of a job. Its function saved is called once the record
-// as it stands is durable.
-func (l *leader) save(now time.Time, e *entry) {
-	e.durable = false
-	if e.writing {
-		return
-	}
-	written := e.record
-	txn, err := l.transaction(e)
-	if err != nil {
-		return
-	}
-	e.writing = true
-	l.gate.store.Commit(txn, func(result machine.Stored) {
-		e.writing = false
-		if l.gate.leader == l {
-			l.written(now, e, written, result)
-		}
-	})
-}
-
-func (l *leader) transaction(e *entry) (table.Txn, error) {
-	region := l.gate.config.Region
-	id := e.record.ID
-	value, err := json.Marshal(e.record)
-	if err != nil {
-		return table.Txn{}, err
-	}
-	txn := table.Txn{Checks: []table.Check{{Key: liveKey(region, id), Version: e.version}}}
-	if e.version == table.Absent {
-		txn.Checks = absent(region, id)
-	}
-	if !e.record.State.Final() {
-		txn.Writes = []table.Write{{Key: liveKey(region, id), Value: value}}
-		return txn, nil
-	}
-	txn.Writes = []table.Write{{Key: doneKey(region, id), Value: value}}
-	if e.version != table.Absent {
-		txn.Writes = append(txn.Writes, table.Write{Key: liveKey(region, id), Delete: true})
-	}
-	return txn, nil
-}
-
-// written settles a write. One whose answer was lost, or that met another
-// version, is settled by reading the rows back.
-func (l *leader) written(now time.Time, e *entry, written job.Record, result machine.Stored) {
-	var rejected *table.RejectedError
-	switch {
-	case result.Err == nil:
-		l.confirm(now, e, written, result.Rows[0].Version)
-	case errors.As(result.Err, &rejected):
-		e.retry = now.Add(l.gate.config.Resend)
-	default:
-		l.readBack(now, e, written)
-	}
-}
-
+// confirm takes note that a record was written.
 func (l *leader) confirm(now time.Time, e *entry, written job.Record, version table.Version) {
 	e.version = version
+	e.accepted = true
 	if !same(written, e.record) {
-		l.save(now, e)
+		l.save(e)
+		return
+	}
+	if e.queued {
 		return
 	}
 	e.durable = true
+	if e.record.State.Final() {
+		l.past.add(e.record, version)
+	}
 	if saved := e.saved; saved != nil {
 		e.saved = nil
 		saved(now)
@@ -82,62 +31,42 @@
 	l.report(e)
 }
 
-func (l *leader) readBack(now time.Time, e *entry, written job.Record) {
-	region := l.gate.config.Region
-	id := e.record.ID
-	e.writing = true
-	l.gate.store.Read([]table.Key{doneKey(region, id), liveKey(region, id)}, func(result machine.Stored) {
-		e.writing = false
-		if l.gate.leader != l {
-			return
-		}
-		if result.Err != nil {
-			e.retry = now.Add(l.gate.config.Resend)
-			e.writing = false
-			l.retryRead(now, e, written)
-			return
-		}
-		l.compare(now, e, written, result.Rows)
-	})
-}
-
-// retryRead reads back once more after a pause.
-func (l *leader) retryRead(now time.Time, e *entry, written job.Record) {
-	l.readBack(now, e, written)
-}
-
-// compare finds out from the rows whether a write took effect.
-func (l *leader) compare(now time.Time, e *entry, written job.Record, rows []table.Row) {
-	if len(rows) == 0 {
-		e.retry = now
-		return
-	}
+// compare finds out from its row whether a write in doubt took effect.
+func (l *leader) compare(now time.Time, b write, row table.Row) {
+	e := b.entry
 	var stored job.Record
-	if json.Unmarshal(rows[0].Value, &stored) != nil {
-		return
-	}
 	switch {
-	case same(stored, written):
-		l.confirm(now, e, written, rows[0].Version)
-	case rows[0].Version == e.version:
-		e.retry = now
+	case row.Version == e.version:
+		l.save(e)
+	case row.Key == "" || json.Unmarshal(row.Value, &stored) != nil:
+		l.gate.elector.Depose(now)
+	case same(stored, b.written):
+		l.confirm(now, e, b.written, row.Version)
+	case !stored.State.Final() && stored.Epoch <= l.epoch:
+		e.version = row.Version
+		e.accepted = true
+		l.save(e)
+	case !stored.State.Final():
+		l.gate.elector.Depose(now)
 	default:
-		l.adopt(now, e, stored, rows[0].Version)
+		l.adopt(now, e, stored, row.Version)
 	}
 }
 
-// adopt takes over a record that another process wrote.
+// adopt takes over the end of a job that another process wrote.
 func (l *leader) adopt(now time.Time, e *entry, stored job.Record, version table.Version) {
-	if !stored.State.Final() {
-		l.gate.elector.Resign(now)
-		return
+	l.forgetJob(now, e, outcomeOf(stored))
+	if a := e.attempt; a != nil {
+		e.attempt = nil
+		l.strayAll(e, a)
 	}
-	l.policy.Remove(now, e.record.ID, outcomeOf(stored))
 	e.record = stored
 	e.version = version
 	e.durable = true
+	e.accepted = true
 	e.ended = now
 	e.saved = nil
+	l.past.add(stored, version)
 	l.report(e)
 }
 
@@ -149,18 +78,19 @@
 	e.record.Ended = now
 	e.record.Spec.Input = nil
 	e.ended = now
-	l.policy.Remove(now, e.record.ID, outcomeOf(e.record))
+	l.forgetJob(now, e, outcomeOf(e.record))
 	l.gate.observeEnd(e.record)
-	l.save(now, e)
+	l.save(e)
 }
 
-func same(x, y job.Record) bool {
-	return x.State == y.State && x.Attempt == y.Attempt && x.Epoch == y.Epoch
+// forgetJob takes a job out of the policy.
+func (l *leader) forgetJob(now time.Time, e *entry, outcome scheduler.Outcome) {
+	if !e.parked {
+		l.policy.Remove(now, e.record.ID, outcome)
+	}
+	e.parked = false
 }
 
-func absent(region floor.RegionID, id job.ID) []table.Check {
-	return []table.Check{
-		{Key: liveKey(region, id), Version: table.Absent},
-		{Key: doneKey(region, id), Version: table.Absent},
-	}
+func same(x, y job.Record) bool {
+	return x.State == y.State && x.Attempt == y.Attempt && x.Epoch == y.Epoch && x.Failures == y.Failures && x.Begun == y.Begun
 }
--- a/internal/gate/spread.go
+++ b/internal/gate/spread.go
@@ -18,7 +18,7 @@
 
 	// SpreadSilence is the time without an announcement of an agent that lacks the
 	// newest revision after which its leader tells it unasked.
-	SpreadSilence = 3 * time.Second
+	SpreadSilence = time.Second
 )
 
 type (
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -98,6 +98,8 @@
 		Ran       Ran             `json:"ran,omitempty" cbor:"9,keyasint"`
 		Reason    string          `json:"reason,omitempty" cbor:"10,keyasint"`
 		Never     bool            `json:"never,omitempty" cbor:"14,keyasint,omitempty"`
+		Failures  int             `json:"failures,omitempty" cbor:"15,keyasint,omitempty"`
+		Begun     bool            `json:"begun,omitempty" cbor:"16,keyasint,omitempty"`
 		Submitted time.Time       `json:"submitted" cbor:"11,keyasint"`
 		Started   time.Time       `json:"started,omitzero" cbor:"12,keyasint"`
 		Ended     time.Time       `json:"ended,omitzero" cbor:"13,keyasint"`
--- a/internal/scheduler/policy.go
+++ b/internal/scheduler/policy.go
@@ -18,7 +18,7 @@
 	DefaultUrgentGrace = 500 * time.Millisecond
 
 	// DefaultHeads is the number of waiting jobs that hold a reservation.
-	DefaultHeads = 4
+	DefaultHeads = 2
 
 	// DefaultExpected is the run time of a job that declares none.
 	DefaultExpected = time.Hour
@@ -65,6 +65,10 @@
 		leaving  []*task
 		backoff  []*task
 		heads    []*head
+		warm     []*worker
+		open     []*cell
+		pressing []*lane
+		pressDue time.Time
 		arrivals uint64
 
 		// freed counts what may let a waiting job start, changes what may let an
@@ -144,6 +148,7 @@
 	p.startUrgent()
 	p.startBorrowed()
 	p.reserveHeads()
+	p.press()
 	p.decided = p.changes
 	p.wake = p.nextWake()
 	return p.decisions
@@ -214,6 +219,9 @@
 	for _, b := range p.floor.budgets {
 		sooner(b.due)
 	}
+	if len(p.classes) > 0 {
+		sooner(p.pressDue)
+	}
 	if p.recovering() {
 		sooner(p.began.Add(p.config.FloorWait))
 	}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -33,7 +33,9 @@
 		urgent    bool
 		shares    []share
 		cell      *cell
+		host      *cell
 		seats     []int
+		queued    time.Time
 		started   time.Time
 		deadline  time.Time
 		progress  time.Duration
@@ -57,6 +59,11 @@
 	return t.cell == nil && !t.urgent
 }
 
+// firm reports whether a guarantee gives the task its place.
+func (t *task) firm() bool {
+	return t.cell != nil || t.host != nil
+}
+
 func (t *task) active() bool {
 	return t.state == stateRunning || t.state == stateLeaving
 }
@@ -150,7 +157,13 @@
 func (p *policy) startPending() {
 	p.chosen = append(p.chosen[:0], p.pending...)
 	for _, t := range p.chosen {
-		if slices.ContainsFunc(t.shares, func(s share) bool { return !s.clear() }) || !t.cooled() {
+		if slices.ContainsFunc(t.shares, func(s share) bool { return !s.clear() }) {
+			continue
+		}
+		if !t.cooled() {
+			if t.firm() {
+				p.clearCooling(t, p.config.Grace)
+			}
 			continue
 		}
 		shares := t.shares
@@ -165,7 +178,7 @@
 	p.dequeue(t)
 	free := true
 	for _, s := range t.shares {
-		p.victims, _ = p.victimsOf(t, s, t.cell != nil, p.victims[:0])
+		p.victims, _ = p.victimsOf(t, s, t.firm(), p.victims[:0])
 		p.chosen = append(p.chosen[:0], p.victims...)
 		for _, v := range p.chosen {
 			p.displace(v, grace)
@@ -173,8 +186,10 @@
 		free = free && s.clear()
 	}
 	if !t.cooled() {
-		p.clearCooling(t, grace)
 		free = false
+		if t.firm() || t.urgent {
+			p.clearCooling(t, grace)
+		}
 	}
 	if free {
 		p.start(t)
