Pack by accelerators, and exchange free cells to where workers are in use

Work without accelerators made every worker look in use, so nothing kept whole workers free, and guaranteed work of one worker started wherever its cell stood.

--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -32,6 +32,7 @@
 		seats  []int
 		shares []share
 		loss   int
+		spread int
 	}
 )
 
@@ -176,10 +177,20 @@
 		o.seats = append(o.seats, k.seat)
 		o.shares = append(o.shares, k.share)
 		o.loss += k.cost
+		o.spread += k.share.spread()
 	}
 	return o, o.loss < forbidden
 }
 
+// spread is how much of its worker the share would find free.
+func (s share) spread() int {
+	w := s.worker
+	if w.Accelerators == s.mask.Count() {
+		return 0
+	}
+	return w.Accelerators - w.busy.Count()
+}
+
 // kept is what it costs to take what is reserved.
 func (s share) kept() int {
 	if s.mask&s.worker.kept != 0 {
--- a/internal/scheduler/claim.go
+++ b/internal/scheduler/claim.go
@@ -96,7 +96,10 @@
 // cell without tasks may change its place first.
 func (p *policy) bestOffer(t *task) (offer, bool) {
 	best, spare, ok := p.offers(t)
-	if !ok || best.loss == 0 || spare == nil {
+	if ok && best.loss == 0 {
+		return p.tighter(t, best), true
+	}
+	if !ok || spare == nil {
 		return best, ok
 	}
 	if p.move(spare) {
@@ -111,6 +114,39 @@
 	return best, ok
 }
 
+// tighter exchanges a free cell on one worker for another account's of the same
+// shape that leaves more of the floor whole.
+func (p *policy) tighter(t *task, best offer) offer {
+	own := best.cell
+	if len(own.seats) > 1 || len(own.tasks) > 0 || best.spread == 0 {
+		return best
+	}
+	var other *cell
+	spread := best.spread
+	for _, c := range p.cells {
+		if c.shape != own.shape || len(c.tasks) > 0 || c.seats[0].share.worker == nil {
+			continue
+		}
+		if s := c.seats[0].share; s.spread() < spread && s.open() && s.worker.kept&s.mask == 0 && !t.avoids(p.now, s.worker) {
+			other, spread = c, s.spread()
+		}
+	}
+	if other == nil || other == own {
+		return best
+	}
+	mine, theirs := own.unbindAll(), other.unbindAll()
+	own.bindAll(theirs)
+	other.bindAll(mine)
+	if o, ok := p.carve(t, own); ok && o.loss == 0 {
+		return o
+	}
+	own.unbindAll()
+	other.unbindAll()
+	own.bindAll(mine)
+	other.bindAll(theirs)
+	return best
+}
+
 // offers returns the best place in the account's cells as they stand, and the
 // smallest fitting cell without tasks.
 func (p *policy) offers(t *task) (best offer, spare *cell, found bool) {
@@ -136,6 +172,7 @@
 		cmp.Compare(x.cell.size(), y.cell.size()),
 		cmp.Compare(x.loss, y.loss),
 		cmp.Compare(used(y), used(x)),
+		cmp.Compare(x.spread, y.spread),
 	) < 0
 }
 
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -91,7 +91,7 @@
 		w.rack, w.centre = racks[key], centres[w.DataCentre]
 		for _, d := range []*domain{w.rack, w.centre, f.region} {
 			d.workers = append(d.workers, w)
-			d.running += len(w.tasks) + len(w.pending)
+			d.running += busyParts(w.tasks) + busyParts(w.pending)
 		}
 		f.total += w.Accelerators
 	}
@@ -122,9 +122,19 @@
 	}
 }
 
-// count adds to the number of jobs that run, or are to run, around a worker.
-func (w *worker) count(n int) {
-	if w.rack != nil {
+func busyParts(parts []part) int {
+	n := 0
+	for _, t := range parts {
+		if t.mask != 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// count adds to the number of members on accelerators around a worker.
+func (s share) count(n int) {
+	if w := s.worker; w.rack != nil && s.mask != 0 {
 		w.rack.running += n
 		w.centre.running += n
 	}
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -299,10 +299,10 @@
 		}
 		return cost
 	}
-	if w.idle() {
+	if w.idle() && w.Accelerators > q.need.accelerators {
 		cost += 8 * q.pack
 	}
-	if w.rack.running == 0 {
+	if w.rack.running == 0 && w.Accelerators > q.need.accelerators {
 		cost += 4 * q.pack
 	}
 	if q.task != nil && !q.task.Idempotent && w.fixed == 0 {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -92,8 +92,9 @@
 	return w.known && !w.lost && !w.drain && w.until.IsZero()
 }
 
+// idle reports whether none of the worker's accelerators is in use.
 func (w *worker) idle() bool {
-	return len(w.tasks) == 0 && len(w.pending) == 0
+	return w.busy|w.held == 0
 }
 
 // draw is the cooling that a share of the worker stands for.
@@ -181,7 +182,7 @@
 	s.worker.busyAmount = s.worker.busyAmount.plus(s.amount)
 	s.load(1)
 	s.worker.tasks = append(s.worker.tasks, s.of(t))
-	s.worker.count(1)
+	s.count(1)
 	s.worker.fix(t, 1)
 }
 
@@ -190,7 +191,7 @@
 	s.worker.busyAmount = s.worker.busyAmount.minus(s.amount)
 	s.load(-1)
 	s.worker.tasks = without(s.worker.tasks, s.of(t))
-	s.worker.count(-1)
+	s.count(-1)
 	s.worker.fix(t, -1)
 }
 
@@ -198,7 +199,7 @@
 	s.worker.held |= s.mask
 	s.worker.heldAmount = s.worker.heldAmount.plus(s.amount)
 	s.worker.pending = append(s.worker.pending, s.of(t))
-	s.worker.count(1)
+	s.count(1)
 	s.keep(1)
 	s.worker.fix(t, 1)
 }
@@ -207,7 +208,7 @@
 	s.worker.held &^= s.mask
 	s.worker.heldAmount = s.worker.heldAmount.minus(s.amount)
 	s.worker.pending = without(s.worker.pending, s.of(t))
-	s.worker.count(-1)
+	s.count(-1)
 	s.keep(-1)
 	s.worker.fix(t, -1)
 }
