--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -52,8 +52,9 @@
 	// same as a share of all accelerators, and WholeWorkers and WholeRacks how
 	// many are wholly free, as a share of the best possible packing; all are
 	// averages over the horizon. Lost is in accelerator time. Never counts jobs
-	// that did not end, Stopped non-idempotent jobs that were reclaimed, and
-	// Burnt jobs that bad workers failed for good.
+	// that did not end, Stopped non-idempotent jobs that were reclaimed, Burnt
+	// jobs that bad workers failed as often as a job may fail, and Spoilt
+	// non-idempotent jobs, which one failure ends.
 	Result struct {
 		Groups        map[Group]*Figures
 		All           Figures
@@ -66,6 +67,7 @@
 		Never         int
 		Stopped       int
 		Burnt         int
+		Spoilt        int
 		Declined      int
 		Reclaims      int
 		Lost          time.Duration
@@ -135,7 +137,7 @@
 	if e.outcome == Open {
 		res.Never++
 		if e.claim.open && !e.claim.void && r.now-e.claim.since > ReclaimBound {
-			res.Violated = append(res.Violated, violation(e, r.now-e.claim.since))
+			res.Violated = append(res.Violated, finding(e, "claimed", r.now-e.claim.since))
 		}
 	}
 	if e.Uncounted || (e.outcome != Done && e.outcome != Open) {
@@ -146,7 +148,7 @@
 		took = r.now - e.At
 	}
 	if delay := took - e.Run; delay > allowed {
-		res.Starved = append(res.Starved, violation(e, delay))
+		res.Starved = append(res.Starved, finding(e, "was delayed", delay))
 	}
 	if !e.started {
 		e.first = r.now
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -24,7 +24,7 @@
 				return err
 			}
 			if len(sections) == 0 {
-				return &settings.KeyError{File: path, Reason: "the file has no section gate, agent or platform"}
+				return &settings.KeyError{File: path, Reason: "the file has no section gate, agent, platform or runner"}
 			}
 			for _, section := range sections {
 				lines, err := checkSection(path, section)
@@ -49,8 +49,10 @@
 		return loadLines[settings.Agent](path, section)
 	case "platform":
 		return loadLines[settings.Platform](path, section)
+	case "runner":
+		return loadLines[settings.Runner](path, section)
 	default:
-		return nil, &settings.KeyError{File: path, Section: section, Reason: "is no role: use gate, agent or platform"}
+		return nil, &settings.KeyError{File: path, Section: section, Reason: "is no role: use gate, agent, platform or runner"}
 	}
 }
 
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -35,12 +35,19 @@
 	return &cli.Command{
 		Name:  "lovageroad",
 		Usage: "schedule multi-accelerator jobs under client account guarantees",
+		Description: "Exit codes: 0 done; 1 failed; 2 the arguments, the settings or the request are wrong; 3 the job did not run; " +
+			"4 the job may have run, or the change may have been made; 5 another change came first.",
 		Commands: []*cli.Command{
 			newGate(),
 			newAgent(),
 			newPlatform(),
+			newRunner(),
 			newDev(),
 			newJob(),
+			newAccount(),
+			newTemplate(),
+			newFloor(),
+			newStatus(),
 			newCheck(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
@@ -66,9 +73,13 @@
 	return roleCommand("platform", "stand in for the platform's table service and object store; for tests and dev, keeps nothing", lovageroad.NewPlatform)
 }
 
+func newRunner() *cli.Command {
+	return roleCommand("runner", "stand in for the runner of an upstream; for tests and dev, its tasks only sleep", lovageroad.NewRunner)
+}
+
 // roleCommand returns the command that runs a role with the settings in the
 // section of its name.
-func roleCommand[T any](name, usage string, role func(T) lovageroad.Role) *cli.Command {
+func roleCommand[T any](name, usage string, role func(T, ...lovageroad.Option) lovageroad.Role) *cli.Command {
 	return &cli.Command{
 		Name:      name,
 		Usage:     usage,
--- a/pkg/machine/store.go
+++ b/pkg/machine/store.go
@@ -1,10 +1,15 @@
 package machine
 
-import "github.com/lovageroad/lovageroad/pkg/table"
+import (
+	"time"
+
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
 
 // Store issues store operations from a machine and hands each result to the
 // function that waits for it.
 type Store struct {
+	now     time.Time
 	next    OpID
 	waiting map[OpID]func(Stored)
 	effects []Effect
@@ -15,6 +20,16 @@
 	return &Store{waiting: make(map[OpID]func(Stored))}
 }
 
+// Advance sets the time of the step that a machine takes.
+func (s *Store) Advance(now time.Time) {
+	s.now = now
+}
+
+// Now returns the time of the present step, for functions that wait for results.
+func (s *Store) Now() time.Time {
+	return s.now
+}
+
 // Commit asks for a transaction and calls done with its result.
 func (s *Store) Commit(txn table.Txn, done func(Stored)) {
 	id := s.add(done)
