--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -229,7 +229,7 @@
 	if shape.Workers < 1 || shape.Accelerators < 0 || shape.Cores < 0 || shape.Memory < 0 {
 		return "shape", "the shape has a negative size"
 	}
-	if len(p.floor.workers) == 0 || p.floor.missing > 0 {
+	if len(p.floor.workers) == 0 || p.recovering() {
 		return "", ""
 	}
 	if p.floor.holds(shape) {
