--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -351,7 +351,7 @@
 	case outcome.Failed:
 		p.learnFailure(t, outcome)
 	default:
-		t.absolve(p.now)
+		t.absolve()
 		if !t.slow && t.state == stateRunning {
 			t.estimate.learn(t.declared(), t.progress+p.now.Sub(t.started))
 		}
--- a/internal/scheduler/fault.go
+++ b/internal/scheduler/fault.go
@@ -22,8 +22,15 @@
 	at     time.Time
 }
 
+// doubtful reports whether a job failed on a worker, and none that started later
+// ran well: not long ago, or before a quarantine.
+func (w *worker) doubtful(now time.Time) bool {
+	return w.probation || w.failed.After(w.well) && now.Sub(w.failed) < avoidFor
+}
+
 // Spent tells a job that fails everywhere from one that met bad workers: a
-// failure is the job's own if its worker has run another job well since.
+// failure is the job's own if its worker has run another job well that started
+// since.
 func (p *policy) Spent(id job.ID) bool {
 	t, ok := p.tasks[id]
 	if !ok {
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -71,9 +71,11 @@
 }
 
 // absolve notes that a job ran well on its workers.
-func (t *task) absolve(now time.Time) {
+func (t *task) absolve() {
 	for _, s := range t.shares {
-		s.worker.well = now
+		if t.started.After(s.worker.well) {
+			s.worker.well = t.started
+		}
 		s.worker.blames = nil
 		if s.worker.probation && s.worker.until.IsZero() {
 			s.worker.probation = false
@@ -91,6 +93,7 @@
 	if !ok {
 		return
 	}
+	w.failed = p.now
 	t.faults = append(t.faults, fault{worker: w, at: p.now})
 	if !slices.Contains(t.avoid, w.ID) {
 		t.avoid = append(t.avoid, w.ID)
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -17,6 +17,10 @@
 	firstBackoff = time.Second
 	maxBackoff   = 5 * time.Minute
 	avoidFor     = 30 * time.Minute
+
+	// avoidUnproven is how long a job keeps off a worker on which it failed while
+	// no other job has run well there.
+	avoidUnproven = 6 * time.Hour
 )
 
 type (
@@ -69,8 +73,18 @@
 	return t.state == stateRunning || t.state == stateLeaving
 }
 
+// avoids reports whether a task keeps off a worker: one on which it failed, for
+// longer while no other job has run well there, or, if it cannot be tried again,
+// one on which any job failed last.
 func (t *task) avoids(now time.Time, w *worker) bool {
-	return len(t.avoid) > 0 && now.Sub(t.failed) < avoidFor && slices.Contains(t.avoid, w.ID)
+	if !t.Idempotent && w.doubtful(now) {
+		return true
+	}
+	if len(t.avoid) == 0 || !slices.Contains(t.avoid, w.ID) {
+		return false
+	}
+	since := now.Sub(t.failed)
+	return since < avoidFor || since < avoidUnproven && !w.well.After(t.failed)
 }
 
 func (t *task) placement() floor.Placement {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -42,8 +42,11 @@
 		centre  *domain
 		budgets []*budget
 
-		blames    []job.ID
+		blames []job.ID
+		// well is the start of the last job that ran well, failed the time of the
+		// last failure.
 		well      time.Time
+		failed    time.Time
 		until     time.Time
 		bans      int
 		probation bool
