--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -92,7 +92,7 @@
 	}
 	if !slices.Contains(t.avoid, w.ID) {
 		t.avoid = append(t.avoid, w.ID)
-		if len(t.avoid) > max(elsewhere, len(p.floor.workers)/2) {
+		if n := len(p.floor.workers); len(t.avoid) > min(max(elsewhere, n/2), n-1) {
 			t.avoid = t.avoid[1:]
 		}
 	}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -16,7 +16,7 @@
 
 	firstBackoff = time.Second
 	maxBackoff   = 5 * time.Minute
-	avoidFor     = 30 * time.Minute
+	avoidFor     = 4 * time.Hour
 )
 
 type (
