--- a/internal/scheduler/cell.go
+++ b/internal/scheduler/cell.go
@@ -191,12 +191,16 @@
 	return w.Accelerators - w.busy.Count()
 }
 
-// kept is what it costs to take what is reserved.
+// kept is what it costs to take what is reserved, or a worker under suspicion.
 func (s share) kept() int {
+	cost := 0
 	if s.mask&s.worker.kept != 0 {
-		return 1
+		cost++
 	}
-	return 0
+	if s.worker.probation || len(s.worker.blames) > 0 {
+		cost++
+	}
+	return cost
 }
 
 // open reports whether anything of the cell is left for a task.
--- a/internal/scheduler/quarantine.go
+++ b/internal/scheduler/quarantine.go
@@ -32,6 +32,7 @@
 		return
 	}
 	w.blames = append(w.blames, t.ID)
+	w.blamed = p.now
 	if w.probation || len(w.blames) >= quarantineAfter {
 		p.quarantine(w)
 	}
--- a/internal/scheduler/search.go
+++ b/internal/scheduler/search.go
@@ -164,7 +164,7 @@
 	if !w.usable() || (w.probation && len(w.tasks)+len(w.pending) > 0 && !q.firm()) {
 		return candidate{}, false
 	}
-	if q.task != nil && q.task.avoids(p.now, w) {
+	if q.task != nil && (q.task.avoids(p.now, w) || q.task.shuns(p.now, w)) {
 		return candidate{}, false
 	}
 	if q.view == viewFree && w.Accelerators-bits.OnesCount64(uint64(w.busy|w.held)) < q.need.accelerators {
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -17,6 +17,7 @@
 	firstBackoff = time.Second
 	maxBackoff   = 5 * time.Minute
 	avoidFor     = 4 * time.Hour
+	shunFor      = 30 * time.Minute
 )
 
 type (
@@ -72,6 +73,12 @@
 	return len(t.avoid) > 0 && now.Sub(t.failed) < avoidFor && slices.Contains(t.avoid, w.ID)
 }
 
+// shuns reports whether a job that cannot run again keeps off a worker that
+// failed another lately.
+func (t *task) shuns(now time.Time, w *worker) bool {
+	return !t.Idempotent && (w.probation || len(w.blames) > 0) && now.Sub(w.blamed) < shunFor
+}
+
 func (t *task) placement() floor.Placement {
 	placement := make(floor.Placement, 0, len(t.shares))
 	for _, s := range t.shares {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -43,6 +43,7 @@
 		budgets []*budget
 
 		blames    []job.ID
+		blamed    time.Time
 		until     time.Time
 		bans      int
 		probation bool
