--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -20,9 +20,11 @@
 	incarnation wire.Incarnation
 	leaving     bool
 	suspect     bool
+	doubted     bool
 	draw        floor.Watts
 	heard       time.Time
 	asked       time.Time
+	probe       time.Time
 }
 
 // agentLife is one life of the agent of a worker.
@@ -41,12 +43,13 @@
 func (l *leader) announced(now time.Time, from machine.Node, m wire.Announce) bool {
 	u, ok := l.workers[m.Worker.ID]
 	if !ok || u.node != from || u.incarnation != m.Incarnation || m.Epoch < l.epoch {
-		if l.ready && !l.replaced[lifeOf(m.Worker.ID, m.Incarnation)] {
+		fenceable := l.ready && m.Revision <= l.gate.directory.revision()
+		if fenceable && !l.replaced[lifeOf(m.Worker.ID, m.Incarnation)] {
 			l.gate.send(from, wire.Fence{Epoch: l.epoch, Revision: l.gate.directory.revision()})
 		}
 		return false
 	}
-	u.heard = now
+	l.hear(now, u)
 	if m.Draw != u.draw {
 		u.draw = m.Draw
 		l.policy.Report(now, u.worker.ID, m.Draw)
@@ -66,7 +69,7 @@
 	u.leaving = true
 	l.policy.DrainWorker(u.worker.ID)
 	l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerLeaving})
-	for _, e := range l.entries() {
+	for e := range l.jobs.All() {
 		if e.attempt == nil || (e.attempt.step != stepReserving && e.attempt.step != stepDeciding) {
 			continue
 		}
@@ -87,7 +90,7 @@
 	}
 	u, ok := l.workers[m.Worker.ID]
 	if ok && u.node == from && u.incarnation == m.Incarnation {
-		u.heard = now
+		l.hear(now, u)
 		return
 	}
 	if ok {
@@ -98,6 +101,8 @@
 	}
 	u = &upstream{node: from, worker: m.Worker, incarnation: m.Incarnation, heard: now}
 	l.workers[m.Worker.ID] = u
+	l.members.Join(now, m.Worker.ID, m.Worker.DataCentre)
+	l.members.Admit(now, m.Worker.ID)
 	l.dropStrays(u)
 	l.policy.AddWorker(u.worker)
 	l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerJoined})
@@ -114,7 +119,7 @@
 		held[t.Task] = true
 		l.reconcileTask(now, u, t)
 	}
-	for _, e := range l.entries() {
+	for e := range l.jobs.All() {
 		if e.attempt == nil {
 			continue
 		}
@@ -143,12 +148,13 @@
 	}
 }
 
-// tickWorkers gives up agents that were not heard of, or that leave orders
-// without answers.
+// tickWorkers gives up agents that are dead, or that leave orders without
+// answers though their messages arrive.
 func (l *leader) tickWorkers(now time.Time) {
 	timeout := l.gate.config.AgentTimeout
+	l.watchMembers(now)
 	for _, u := range l.list() {
-		if now.Sub(u.heard) > timeout || (!u.asked.IsZero() && now.Sub(u.asked) > timeout) {
+		if !u.doubted && !u.asked.IsZero() && now.Sub(u.asked) > timeout {
 			l.lose(now, u)
 		}
 	}
@@ -181,7 +187,7 @@
 	u.asked = time.Time{}
 	if u.suspect {
 		u.suspect = false
-		if !u.leaving {
+		if !u.leaving && !u.doubted {
 			l.policy.AddWorker(u.worker)
 		}
 	}
@@ -206,7 +212,7 @@
 	l.dropStrays(u)
 	l.gate.emit(WorkerChanged{Worker: u.worker.ID, Change: WorkerLost})
 	l.policy.RemoveWorker(u.worker.ID)
-	for _, e := range l.entries() {
+	for e := range l.jobs.All() {
 		if e.attempt == nil {
 			continue
 		}
@@ -229,7 +235,7 @@
 // loseAbsent gives up the members whose agents have not come back since the
 // leader began.
 func (l *leader) loseAbsent(now time.Time) {
-	for _, e := range l.entries() {
+	for e := range l.jobs.All() {
 		if e.attempt == nil {
 			continue
 		}
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -137,6 +137,9 @@
 		for _, k := range slices.Clone(c.tasks) {
 			p.eject(k)
 		}
+		if c.guest != nil {
+			c.guest.part()
+		}
 		c.unbindAll()
 		p.cells = without(p.cells, c)
 	}
@@ -197,6 +200,9 @@
 	t := &task{Job: entry, tenant: p.tenant(entry.Account), arrival: p.arrivals}
 	p.arrivals++
 	t.urgent = t.tenant.rank(entry.Class) == urgentRank
+	if t.urgent {
+		t.tenant.urgentSize = max(t.tenant.urgentSize, t.members())
+	}
 	t.estimate = t.tenant.estimate(entry.Class)
 	p.tasks[entry.ID] = t
 	return t
--- a/internal/scheduler/bind.go
+++ b/internal/scheduler/bind.go
@@ -37,6 +37,10 @@
 	for _, t := range p.tenants {
 		p.adopt(t)
 	}
+	if p.recovering() {
+		p.broken = true
+		return
+	}
 	left := 0
 	for _, c := range p.cells {
 		if !c.whole() && !p.fill(c, bindPack) {
@@ -149,15 +153,21 @@
 // adopt lets the account's borrowers run as guaranteed where a cell that is not
 // taken can stand over their place.
 func (p *policy) adopt(t *tenant) {
-	if len(t.cells) == 0 {
+	p.open = p.open[:0]
+	for _, c := range t.cells {
+		if c.open() {
+			p.open = append(p.open, c)
+		}
+	}
+	if len(p.open) == 0 {
 		return
 	}
 	for _, k := range t.active {
 		if k.cell != nil || k.state != stateRunning {
 			continue
 		}
-		for _, c := range t.cells {
-			if len(c.seats) == k.Shape.Workers && c.admits(k) && p.adoptInto(k, c) {
+		for _, c := range p.open {
+			if c.open() && len(c.seats) == k.Shape.Workers && c.admits(k) && p.adoptInto(k, c) {
 				break
 			}
 		}
@@ -177,10 +187,13 @@
 		return false
 	}
 	old := c.unbindAll()
-	if p.bindOver(t, c) && p.join(t, c) {
+	undo, ok := p.bindOver(t, c)
+	if ok && p.join(t, c) {
 		return true
 	}
-	c.unbindAll()
+	if ok {
+		undo()
+	}
 	c.bindAll(old)
 	return false
 }
@@ -203,20 +216,20 @@
 }
 
 // bindOver binds an unbound cell around the shares of a task.
-func (p *policy) bindOver(t *task, c *cell) bool {
+func (p *policy) bindOver(t *task, c *cell) (undo func(), ok bool) {
 	n := c.need()
 	d := p.floor.domain(t.shares[0].worker, c.shape.Adjacency)
 	shares := make([]share, 0, len(t.shares))
 	for _, s := range t.shares {
 		w := s.worker
 		if len(c.seats) > 1 && p.floor.domain(w, c.shape.Adjacency) != d {
-			return false
+			return nil, false
 		}
 		wanted := n.on(w)
 		busy, used := w.inUse()
 		mask, ok := around(s.mask, busy, w.Accelerators, n.accelerators)
 		if !ok || !used.plus(wanted).within(w.capacity()) {
-			return false
+			return nil, false
 		}
 		shares = append(shares, share{worker: w, mask: mask, amount: wanted})
 	}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -27,6 +27,7 @@
 		waiting    int
 		running    int
 		weight     int
+		urgentSize int
 		dirty      bool
 		best       *lane
 		score      float64
@@ -81,7 +82,7 @@
 func (t *tenant) estimate(class account.Class) *estimate {
 	e, ok := t.estimates[class]
 	if !ok {
-		e = &estimate{}
+		e = newEstimate()
 		t.estimates[class] = e
 	}
 	return e
