--- a/internal/e2e/outage_test.go
+++ b/internal/e2e/outage_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net/http"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -12,42 +11,13 @@
 	"github.com/lovageroad/lovageroad/internal/platform"
 )
 
-// fault switches a fault of the platform's stand-in on or off.
-func (c *cluster) fault(fault platform.Fault) {
-	c.t.Helper()
-	body := strings.NewReader(`{"fault":"` + string(fault) + `"}`)
-	request, err := http.NewRequest(http.MethodPut, "http://"+c.platform+"/fault", body)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	if err := response.Body.Close(); err != nil {
-		c.t.Fatal(err)
-	}
-	if response.StatusCode >= http.StatusBadRequest {
-		c.t.Fatalf("the stand-in answered %d", response.StatusCode)
-	}
-}
-
-// warm waits until a job runs to its end.
-func (c *cluster) warm() {
-	c.t.Helper()
-	c.until("a job runs", func() bool {
-		status, _, err := c.submit(0, "warm", gang("report", true, "warm"), 10*time.Second)
-		return err == nil && status == http.StatusOK
-	})
-}
-
 // TestStandInDown takes the platform's stand-in down. An idempotent job runs and
 // is answered at each gate, a non-idempotent one is refused as not run and does
 // not run when the stand-in is back.
 func TestStandInDown(t *testing.T) {
 	c := newCluster(t, 2, 3)
 	c.warm()
-	c.fault(platform.FaultDown)
+	c.fault(string(platform.FaultDown))
 	for i := range 2 {
 		key := "down-" + c.gates[i]
 		status, answer, err := c.submit(i, key, gang("report", true, "whole"), 20*time.Second)
@@ -59,7 +29,7 @@
 			t.Errorf("gate %d, non-idempotent: got %d %s %v", i, status, answer, err)
 		}
 	}
-	c.fault(platform.FaultNone)
+	c.fault(string(platform.FaultNone))
 	c.until("the jobs are written", func() bool {
 		status, _, err := c.submit(1, "down-"+c.gates[0], gang("report", true, "whole"), 0)
 		again, _, failed := c.submit(0, "once-down-"+c.gates[1], gang("report", false, "once"), 0)
