--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -39,7 +39,8 @@
 
 // announced takes note that an agent is there, and fences one that is new. It
 // returns whether the agent is fenced already. One that comes before the leader
-// is ready gets no answer and asks again.
+// is ready, or that has newer settings than the leader, gets no answer and asks
+// again.
 func (l *leader) announced(now time.Time, from machine.Node, m wire.Announce) bool {
 	u, ok := l.workers[m.Worker.ID]
 	if !ok || u.node != from || u.incarnation != m.Incarnation || m.Epoch < l.epoch {
