--- a/internal/gate/chaos_test.go
+++ b/internal/gate/chaos_test.go
@@ -32,23 +32,40 @@
 		for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
 			t.Run(fmt.Sprintf("outages=%v/seed=%d", outages, seed), func(t *testing.T) {
 				t.Parallel()
-				r := lab.NewRegion(seed, 3, 9)
-				ledger := lab.NewLedger(r)
-				ledger.PartialBound = partialBound
-				trace(r)
-				chaos := lab.NewChaos(r)
-				chaos.Outages = outages
-				if err := chaos.Run(stormTime, restTime); err != nil {
-					t.Fatal(err)
-				}
-				if err := ledger.Settled(); err != nil {
-					explain(r)
-					t.Fatalf("seed %d: %v", seed, err)
-				}
-				if r.Steps() < 2000 {
-					t.Fatalf("seed %d: %d steps", seed, r.Steps())
-				}
+				storm(t, seed, outages)
 			})
 		}
 	}
 }
+
+// TestToldEnds runs the seeds under which the end of a job that was told while the
+// store was away is not what the table keeps.
+func TestToldEnds(t *testing.T) {
+	for _, seed := range []uint64{66, 123, 205, 283, 322} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			storm(t, seed, true)
+		})
+	}
+}
+
+// storm checks all promises under the random faults of one seed.
+func storm(t *testing.T, seed uint64, outages bool) {
+	t.Helper()
+	r := lab.NewRegion(seed, 3, 9)
+	ledger := lab.NewLedger(r)
+	ledger.PartialBound = partialBound
+	trace(r)
+	chaos := lab.NewChaos(r)
+	chaos.Outages = outages
+	if err := chaos.Run(stormTime, restTime); err != nil {
+		t.Fatal(err)
+	}
+	if err := ledger.Settled(); err != nil {
+		explain(r)
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+	if r.Steps() < 2000 {
+		t.Fatalf("seed %d: %d steps", seed, r.Steps())
+	}
+}
