--- a/internal/scheduler/borrow.go
+++ b/internal/scheduler/borrow.go
@@ -104,9 +104,8 @@
 	var best *lane
 	score := 0.0
 	for _, t := range p.chosenTenants {
-		s := t.score / (1 + 0*float64(t.weight)*float64(len(p.tenants))/float64(max(1, p.floor.total)))
-		if best == nil || s > score {
-			best, score = t.best, s
+		if best == nil || t.score > score {
+			best, score = t.best, t.score
 		}
 		t.best = nil
 	}
