Keep one first-fit policy, and claim nothing of a copy when limiting

The first-fit policy stood in scheduler and in baseline; tests use the latter. A caller's two ways to look a job up are one. A request over the rate is answered with "may have run": a copy of it may be taken at another gate.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -105,12 +105,7 @@
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	wait, err := preferredWait(r)
-	if err != nil {
-		writeProblem(w, problemOf(err))
-		return
-	}
-	reply, ok := s.lookup(r, wait)
+	reply, ok := s.lookup(w, r)
 	if !ok {
 		return
 	}
@@ -122,16 +117,9 @@
 }
 
 func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
-	wait, err := preferredWait(r)
-	if err != nil {
-		writeProblem(w, problemOf(err))
-		return
+	if reply, ok := s.lookup(w, r); ok {
+		s.respond(w, reply, http.StatusAccepted)
 	}
-	reply, ok := s.lookup(r, wait)
-	if !ok {
-		return
-	}
-	s.respond(w, reply, http.StatusAccepted)
 }
 
 func (s *Server) cancel(w http.ResponseWriter, r *http.Request) {
@@ -150,7 +138,14 @@
 	writeJob(w, http.StatusOK, reply.Record)
 }
 
-func (s *Server) lookup(r *http.Request, wait time.Time) (gate.Reply, bool) {
+// lookup asks the gate for the job that the path names. It returns false if the
+// caller has its answer already, or has gone.
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request) (gate.Reply, bool) {
+	wait, err := preferredWait(r)
+	if err != nil {
+		writeProblem(w, problemOf(err))
+		return gate.Reply{}, false
+	}
 	event := gate.Lookup{Account: accountOf(r), Token: token(r), ID: job.ID(chi.URLParam(r, "id")), Wait: wait}
 	return s.ask(r.Context(), func(id gate.RequestID) machine.Event {
 		event.Request = id
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -52,7 +52,7 @@
 	case errors.As(err, &denied):
 		p.Status, p.Ran = http.StatusForbidden, job.NotRun
 	case errors.As(err, &limited):
-		p.Status, p.Ran = http.StatusTooManyRequests, job.NotRun
+		p.Status = http.StatusTooManyRequests
 	case errors.As(err, &unavailable):
 		p.Status, p.Ran = http.StatusServiceUnavailable, unavailable.Ran
 	}
--- a/internal/gate/policy_test.go
+++ b/internal/gate/policy_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/agent"
+	"github.com/lovageroad/lovageroad/internal/baseline"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/job"
@@ -28,7 +29,7 @@
 }
 
 func newScripted() *scripted {
-	return &scripted{Policy: scheduler.NewFirstFit()}
+	return &scripted{Policy: baseline.NewFirstFit()}
 }
 
 // Spent blames the job after a number of outcomes, if it is set.
--- a/internal/gate/settings_test.go
+++ b/internal/gate/settings_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/account"
+	"github.com/lovageroad/lovageroad/internal/baseline"
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/job"
@@ -69,7 +70,7 @@
 // TestRefusedGuarantee sets a guarantee that the floor cannot hold: before its
 // workers have had the time to announce themselves, and after.
 func TestRefusedGuarantee(t *testing.T) {
-	policy := func() scheduler.Policy { return narrow{scheduler.NewFirstFit()} }
+	policy := func() scheduler.Policy { return narrow{baseline.NewFirstFit()} }
 	o := newOperated(t, 1, 2, 1, gate.WithPolicy(policy))
 	o.until(time.Minute, func() bool { return o.Leader() != nil })
 	shape := floor.Shape{Workers: 2, Accelerators: 8}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/lovageroad/lovageroad/internal/account"
+	"github.com/lovageroad/lovageroad/internal/baseline"
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/loop"
 	"github.com/lovageroad/lovageroad/internal/operator"
@@ -53,7 +54,7 @@
 	s := &site{
 		t:      t,
 		now:    time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-		gate:   gate.New("gate", region, gate.WithPolicy(func() scheduler.Policy { return narrow{scheduler.NewFirstFit()} })),
+		gate:   gate.New("gate", region, gate.WithPolicy(func() scheduler.Policy { return narrow{baseline.NewFirstFit()} })),
 		memory: platform.NewMemory(),
 		router: chi.NewRouter(),
 	}
