--- a/internal/command/docs_test.go
+++ b/internal/command/docs_test.go
@@ -22,7 +22,7 @@
 // the command dev. None may be refused.
 func TestCallersPage(t *testing.T) {
 	port := startDev(t)
-	lines := curlLines(t, "../../docs/CALLERS.md")
+	lines := pageLines(t, "../../docs/CALLERS.md", "curl ")
 	if len(lines) == 0 {
 		t.Fatal("the page has no curl line")
 	}
@@ -63,7 +63,45 @@
 	return port
 }
 
-func curlLines(t *testing.T, path string) []string {
+// TestOperatingPage runs the command lines of the operators' page that change
+// settings, in order, against the command dev.
+func TestOperatingPage(t *testing.T) {
+	port := startDev(t)
+	lines := append(pageLines(t, "../../docs/OPERATING.md", "lovageroad template "),
+		pageLines(t, "../../docs/OPERATING.md", "lovageroad account ")...)
+	if len(lines) < 4 {
+		t.Fatalf("the page has %d lines", len(lines))
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, line := range lines {
+		output, err := runLine(t, self, line, port)
+		for tries := 0; i == 0 && err != nil && tries < 100; tries++ {
+			<-time.After(100 * time.Millisecond)
+			output, err = runLine(t, self, line, port)
+		}
+		if err != nil {
+			t.Fatalf("%s\n%v: %s", line, err, output)
+		}
+	}
+}
+
+func runLine(t *testing.T, self, line string, port int) ([]byte, error) {
+	t.Helper()
+	words, err := shell.Fields(line, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	process := exec.Command(self, words[1:]...)
+	process.Env = append(os.Environ(), asCommand+"=yes", "LOVAGEROAD_OPERATOR=dev-operator",
+		"LOVAGEROAD_GATE=http://127.0.0.1:"+strconv.Itoa(port))
+	return process.CombinedOutput()
+}
+
+// pageLines returns the indented lines of a page that start with a command.
+func pageLines(t *testing.T, path, start string) []string {
 	t.Helper()
 	file, err := os.Open(path)
 	if err != nil {
@@ -73,7 +111,7 @@
 	var lines []string
 	scanner := bufio.NewScanner(file)
 	for scanner.Scan() {
-		if line, ok := strings.CutPrefix(scanner.Text(), "    "); ok && strings.HasPrefix(line, "curl ") {
+		if line, ok := strings.CutPrefix(scanner.Text(), "    "); ok && strings.HasPrefix(line, start) {
 			lines = append(lines, line)
 		}
 	}
--- /dev/null
+++ b/pkg/machine/machine_test.go
@@ -0,0 +1,63 @@
+package machine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+// recorder writes each message that it gets as a row, and answers its sender
+// once the row is durable.
+type recorder struct {
+	store   *machine.Store
+	replies []machine.Effect
+}
+
+// Step applies one event.
+func (r *recorder) Step(_ time.Time, event machine.Event) []machine.Effect {
+	r.replies = nil
+	switch e := event.(type) {
+	case machine.Stored:
+		r.store.Resolve(e)
+	case machine.Message:
+		txn := table.Txn{Writes: []table.Write{{Key: "last", Value: []byte(fmt.Sprint(e.Body))}}}
+		r.store.Commit(txn, func(result machine.Stored) {
+			r.replies = append(r.replies, machine.Send{To: e.From, Body: result.Err == nil})
+		})
+	}
+	return append(r.replies, r.store.Take()...)
+}
+
+func ExampleMachine() {
+	var m machine.Machine = &recorder{store: machine.NewStore()}
+	now := time.Unix(0, 0)
+	effects := m.Step(now, machine.Message{From: "10.0.0.1:7000", Body: "hello"})
+	commit := effects[0].(machine.Commit)
+	fmt.Printf("write %s\n", commit.Txn.Writes[0].Value)
+	for _, effect := range m.Step(now, machine.Stored{ID: commit.ID}) {
+		send := effect.(machine.Send)
+		fmt.Printf("answer %s: %v\n", send.To, send.Body)
+	}
+	// Output:
+	// write hello
+	// answer 10.0.0.1:7000: true
+}
+
+// TestStore resolves operations out of order, twice, and unknown ones.
+func TestStore(t *testing.T) {
+	s := machine.NewStore()
+	var order []string
+	s.Read([]table.Key{"a"}, func(machine.Stored) { order = append(order, "read") })
+	s.Get("object", func(machine.Stored) { order = append(order, "get") })
+	effects := s.Take()
+	read, get := effects[0].(machine.Read).ID, effects[1].(machine.Get).ID
+	for _, id := range []machine.OpID{get, get, read, 99} {
+		s.Resolve(machine.Stored{ID: id})
+	}
+	if fmt.Sprint(order) != "[get read]" || s.Pending() != 0 {
+		t.Errorf("got %v, %d pending", order, s.Pending())
+	}
+}
