--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,7 @@
 
 	// Agent holds the settings of the process beside an upstream.
 	Agent struct {
+		Listen       Address            `ini:"listen" optional:"yes" help:"address for Prometheus; none if absent"`
 		Peer         Address            `ini:"peer" help:"address for the system's own processes"`
 		Region       floor.RegionID     `ini:"region" help:"region of the worker"`
 		DataCentre   floor.DataCentreID `ini:"datacentre" help:"data centre of the worker"`
