Blame a job that fails alone on an idle floor

Cause: tried by hand, a job that fails everywhere was still tried after 20 s on an idle floor (6 starts): with no other job there, no worker had run one well since. A failure is now the job's own too if no other job accuses the worker.

--- a/internal/scheduler/fault.go
+++ b/internal/scheduler/fault.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/job"
@@ -22,6 +23,13 @@
 	at     time.Time
 }
 
+// accused reports whether another job than t failed on a worker and none ran well
+// there since.
+func (w *worker) accused(t *task) bool {
+	others := func(id job.ID) bool { return id != t.ID }
+	return w.probation || slices.ContainsFunc(w.blames, others)
+}
+
 // doubtful reports whether a job failed on a worker, and none that started later
 // ran well: not long ago, or before a quarantine.
 func (w *worker) doubtful(now time.Time) bool {
@@ -30,7 +38,7 @@
 
 // Spent tells a job that fails everywhere from one that met bad workers: a
 // failure is the job's own if its worker has run another job well that started
-// since.
+// since, or if no other job accuses the worker.
 func (p *policy) Spent(id job.ID) bool {
 	t, ok := p.tasks[id]
 	if !ok {
@@ -38,7 +46,7 @@
 	}
 	own := 0
 	for _, f := range t.faults {
-		if f.worker.well.After(f.at) {
+		if f.worker.well.After(f.at) || !f.worker.accused(t) {
 			own++
 		}
 	}
