--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -15,6 +15,7 @@
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/job"
 	"github.com/lovageroad/lovageroad/internal/loop"
+	"github.com/lovageroad/lovageroad/internal/problem"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
@@ -186,13 +187,13 @@
 		defer cancel()
 		stored, err := s.objects.Get(ctx, answer.Object)
 		if err != nil {
-			writeProblem(w, Problem{Status: http.StatusServiceUnavailable, Job: record.ID, Detail: "the answer cannot be read now"})
+			writeProblem(w, Problem{Details: problem.Details{Status: http.StatusServiceUnavailable, Detail: "the answer cannot be read now"}, Job: record.ID})
 			return
 		}
 		data = stored
 	}
 	if !answer.Whole(data) {
-		writeProblem(w, Problem{Status: http.StatusServiceUnavailable, Job: record.ID, Detail: "the answer is not whole"})
+		writeProblem(w, Problem{Details: problem.Details{Status: http.StatusServiceUnavailable, Detail: "the answer is not whole"}, Job: record.ID})
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -205,7 +206,7 @@
 }
 
 func endProblem(record job.Record) Problem {
-	p := Problem{Status: http.StatusConflict, Job: record.ID, Ran: record.Ran, Detail: record.Reason}
+	p := Problem{Details: problem.Details{Status: http.StatusConflict, Detail: record.Reason}, Job: record.ID, Ran: record.Ran}
 	switch record.State {
 	case job.StateRefused:
 		p.Status = http.StatusServiceUnavailable
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -1,24 +1,20 @@
 package caller
 
 import (
-	"encoding/json"
 	"errors"
 	"net/http"
 
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/job"
+	"github.com/lovageroad/lovageroad/internal/problem"
 )
 
 // Problem is a refusal in the form of RFC 9457. Ran says whether the job of the
 // request ran.
 type Problem struct {
-	Type   string  `json:"type"`
-	Title  string  `json:"title"`
-	Status int     `json:"status"`
-	Detail string  `json:"detail,omitempty"`
-	Field  string  `json:"field,omitempty"`
-	Job    job.ID  `json:"job,omitempty"`
-	Ran    job.Ran `json:"ran,omitempty"`
+	problem.Details
+	Job job.ID  `json:"job,omitempty"`
+	Ran job.Ran `json:"ran,omitempty"`
 }
 
 // FieldError says which field of a request is wrong.
@@ -41,7 +37,7 @@
 		limited     *gate.RateError
 		unavailable *gate.UnavailableError
 	)
-	p := Problem{Status: http.StatusInternalServerError, Detail: err.Error(), Ran: job.MayHaveRun}
+	p := Problem{Details: problem.Details{Status: http.StatusInternalServerError, Detail: err.Error()}, Ran: job.MayHaveRun}
 	switch {
 	case errors.As(err, &field):
 		p.Status, p.Field, p.Detail, p.Ran = field.Status, field.Field, field.Reason, job.NotRun
@@ -60,11 +56,6 @@
 }
 
 func writeProblem(w http.ResponseWriter, p Problem) {
-	p.Type = "about:blank"
-	p.Title = http.StatusText(p.Status)
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(p.Status)
-	if err := json.NewEncoder(w).Encode(p); err != nil {
-		return
-	}
+	p.Complete()
+	problem.Write(w, p.Status, p)
 }
--- a/internal/command/exit_test.go
+++ b/internal/command/exit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovageroad/lovageroad/internal/command"
 	"github.com/lovageroad/lovageroad/internal/operator"
+	"github.com/lovageroad/lovageroad/internal/problem"
 )
 
 // TestExitCodes runs a change against gates that answer with problems.
@@ -27,7 +28,7 @@
 	for _, test := range tests {
 		gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(test.status)
-			if err := json.NewEncoder(w).Encode(operator.Problem{Status: test.status}); err != nil {
+			if err := json.NewEncoder(w).Encode(operator.Problem{Details: problem.Details{Status: test.status}}); err != nil {
 				t.Error(err)
 			}
 		}))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,7 @@
 	"github.com/lovageroad/lovageroad/internal/floor"
 	"github.com/lovageroad/lovageroad/internal/gate"
 	"github.com/lovageroad/lovageroad/internal/loop"
+	"github.com/lovageroad/lovageroad/internal/problem"
 	"github.com/lovageroad/lovageroad/internal/settings"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
@@ -109,7 +110,7 @@
 		if author == "" {
 			w.Header().Add("WWW-Authenticate", "Bearer")
 			w.Header().Add("WWW-Authenticate", `Basic realm="lovageroad"`)
-			writeProblem(w, Problem{Status: http.StatusUnauthorized, Field: "Authorization", Detail: "the token is no operator's"})
+			writeProblem(w, Problem{Details: problem.Details{Status: http.StatusUnauthorized, Field: "Authorization", Detail: "the token is no operator's"}})
 			return
 		}
 		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), authorKey{}, author)))
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/internal/problem"
 )
 
 type (
@@ -14,11 +15,7 @@
 	// is, where another change came first. Change identifies a change of which
 	// nobody can tell whether it was accepted.
 	Problem struct {
-		Type    string           `json:"type"`
-		Title   string           `json:"title"`
-		Status  int              `json:"status"`
-		Detail  string           `json:"detail,omitempty"`
-		Field   string           `json:"field,omitempty"`
+		problem.Details
 		Current *Body            `json:"current,omitempty"`
 		Change  account.ChangeID `json:"change,omitempty"`
 	}
@@ -43,7 +40,7 @@
 		unavailable *gate.UnavailableError
 		unsettled   *gate.UnsettledError
 	)
-	p := Problem{Status: http.StatusInternalServerError, Detail: err.Error()}
+	p := Problem{Details: problem.Details{Status: http.StatusInternalServerError, Detail: err.Error()}}
 	switch {
 	case errors.As(err, &request):
 		p.Status, p.Field = request.Status, request.Field
@@ -64,13 +61,8 @@
 }
 
 func writeProblem(w http.ResponseWriter, p Problem) {
-	p.Type = "about:blank"
-	p.Title = http.StatusText(p.Status)
-	w.Header().Set("Content-Type", "application/problem+json")
-	w.WriteHeader(p.Status)
-	if err := json.NewEncoder(w).Encode(p); err != nil {
-		return
-	}
+	p.Complete()
+	problem.Write(w, p.Status, p)
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/internal/operator/write.go
+++ b/internal/operator/write.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovageroad/lovageroad/internal/account"
 	"github.com/lovageroad/lovageroad/internal/gate"
+	"github.com/lovageroad/lovageroad/internal/problem"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/revision"
 )
@@ -285,13 +286,13 @@
 
 func writeRaced(w http.ResponseWriter, edit gate.Edit, raced *gate.RacedError) {
 	if !raced.Exists {
-		p := Problem{Status: http.StatusPreconditionFailed, Field: "If-Match", Detail: raced.Error()}
+		p := Problem{Details: problem.Details{Status: http.StatusPreconditionFailed, Field: "If-Match", Detail: raced.Error()}}
 		writeProblem(w, p)
 		return
 	}
 	body := bodyOf(raced.Current, nil)
 	setTag(w, raced.Current.Revision)
-	p := Problem{Status: http.StatusPreconditionFailed, Field: "If-Match", Detail: raced.Error(), Current: &body}
+	p := Problem{Details: problem.Details{Status: http.StatusPreconditionFailed, Field: "If-Match", Detail: raced.Error()}, Current: &body}
 	if edit.Create {
 		p.Status = http.StatusPreconditionRequired
 		p.Detail = raced.Error() + "; name it in If-Match to change it"
