--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -211,7 +211,7 @@
 	case job.StateRefused:
 		p.Status = http.StatusServiceUnavailable
 		if record.Never {
-			p.Status = http.StatusUnprocessableEntity
+			p.Status, p.Field = http.StatusUnprocessableEntity, "shape"
 		}
 	case job.StateFailed:
 		p.Status = http.StatusBadGateway
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -136,6 +136,19 @@
 	}
 }
 
+// TestImpossibleShape names the field of a job that can never run.
+func TestImpossibleShape(t *testing.T) {
+	record := job.Record{ID: "1", State: job.StateRefused, Ran: job.NotRun, Never: true, Submitted: time.Unix(0, 0)}
+	response := post(newHandler(t, record, func(machine.Event) {}), "k", goodBody)
+	var problem caller.Problem
+	if err := json.Unmarshal(response.Body.Bytes(), &problem); err != nil {
+		t.Fatal(err)
+	}
+	if response.Code != http.StatusUnprocessableEntity || problem.Field != "shape" || problem.Ran != job.NotRun {
+		t.Errorf("got %d %+v", response.Code, problem)
+	}
+}
+
 // FuzzSubmit submits any body. A gate never sees a shape out of bounds.
 func FuzzSubmit(f *testing.F) {
 	f.Add("k", goodBody)
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -46,7 +46,7 @@
 	case errors.As(err, &mismatch):
 		p.Status, p.Job, p.Field, p.Ran = http.StatusUnprocessableEntity, mismatch.ID, "Idempotency-Key", job.NotRun
 	case errors.As(err, &denied):
-		p.Status, p.Ran = http.StatusForbidden, job.NotRun
+		p.Status, p.Field, p.Ran = http.StatusForbidden, "Authorization", job.NotRun
 	case errors.As(err, &limited):
 		p.Status = http.StatusTooManyRequests
 	case errors.As(err, &unavailable):
