--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -42,6 +42,7 @@
 			newAgent(),
 			newPlatform(),
 			newRunner(),
+			newServe(),
 			newDev(),
 			newJob(),
 			newAccount(),
--- /dev/null
+++ b/internal/command/serve.go
@@ -0,0 +1,34 @@
+package command
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"github.com/lovageroad/lovageroad/platform"
+)
+
+// newServe returns the commands that run a role on the users' platform.
+func newServe() *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "run a role on the users' platform, by the settings file that the platform provides",
+		Commands: []*cli.Command{
+			serveCommand("gate", "accept jobs on an entry VM, and lead the region when elected", platform.RunGate),
+			serveCommand("agent", "serve beside a runner and run tasks on its worker", platform.RunAgent),
+		},
+	}
+}
+
+func serveCommand(name, usage string, run func(context.Context) error) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage,
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			klog.LogToStderr(false)
+			klog.SetOutput(os.Stdout)
+			return run(ctx)
+		},
+	}
+}
--- /dev/null
+++ b/internal/region/log.go
@@ -0,0 +1,53 @@
+package region
+
+import (
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/lease"
+)
+
+// Line is one decision or change of belief, for the log.
+type Line struct {
+	Event   string
+	Epoch   lease.Epoch
+	Job     work.JobID
+	Task    work.TaskID
+	Run     work.Run
+	Worker  control.AgentID
+	Runner  control.RunnerID
+	Outcome string
+	Age     time.Duration
+	Count   int
+}
+
+// Pairs returns the fields that are set, as names and values for a structured
+// log.
+func (l Line) Pairs() []any {
+	pairs := []any{"epoch", l.Epoch}
+	add := func(set bool, name string, value any) {
+		if set {
+			pairs = append(pairs, name, value)
+		}
+	}
+	add(l.Job != "", "job", l.Job)
+	add(l.Task.Job != "", "task", l.Task.String())
+	add(l.Run != 0, "run", l.Run)
+	add(l.Worker != "", "worker", l.Worker)
+	add(l.Runner.Name != "", "runner", l.Runner.Name)
+	add(l.Outcome != "", "outcome", l.Outcome)
+	add(l.Age != 0, "age", l.Age.Round(time.Millisecond))
+	add(l.Count != 0, "count", l.Count)
+	return pairs
+}
+
+// WithLog returns an option of New's result: it sets the function that takes
+// each line. It must not block.
+func (c *Core) WithLog(log func(Line)) *Core {
+	c.log = func(line Line) {
+		line.Epoch = c.epoch
+		log(line)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/region/region.go
@@ -0,0 +1,148 @@
+// Package region is the core of the gate that leads a region: it keeps the jobs
+// and the workers, starts and stops tasks, and records how they end. It has no
+// input or output of its own and reads no clock.
+package region
+
+import (
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/configuration"
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/lease"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+const (
+	// runsPerEpoch keeps the runs that one leader orders for a task apart from
+	// those of its successors.
+	runsPerEpoch = 1000
+
+	// slowClock is how much longer a hold may last by a runner's clock that is
+	// slow by 2 percent, as the runners' protocol allows.
+	slowClock = 1.02
+)
+
+type (
+	// Config holds the times of a Core.
+	Config struct {
+		// Hold is how long tasks outlive the leader's last word to their agent.
+		Hold time.Duration
+
+		// Answer is the longest time between the report of an agent and the use
+		// that it makes of the answer.
+		Answer time.Duration
+
+		// Retry is the wait after a start that was refused.
+		Retry time.Duration
+
+		// Stop is the longest time that a stop takes at a runner.
+		Stop time.Duration
+	}
+
+	// Option sets a field of a Config.
+	Option func(*Config)
+
+	// Core is the state of a leader.
+	Core struct {
+		config   Config
+		epoch    lease.Epoch
+		guard    table.Check
+		began    time.Time
+		settings *configuration.Configuration
+
+		jobs    map[work.JobID]*job
+		live    []*job
+		workers map[control.AgentID]*worker
+
+		// absent are agents that a former leader knew and that have not
+		// reported yet: they may run anything until the hold has passed.
+		absent  map[control.AgentID]bool
+		settled bool
+
+		// early is the table's version when the leader began. Jobs of a later
+		// version can't run anywhere yet.
+		early table.Version
+
+		changes uint64
+		saving  bool
+		plan    bool
+		paces   map[work.QueueID]*pace
+		log     func(line Line)
+	}
+)
+
+// WithHold sets how long tasks outlive the leader's last word.
+func WithHold(hold time.Duration) Option {
+	return func(c *Config) { c.Hold = hold }
+}
+
+// WithStop sets the longest time that a stop takes at a runner.
+func WithStop(stop time.Duration) Option {
+	return func(c *Config) { c.Stop = stop }
+}
+
+// New returns the core of a leader that begins an epoch. The guard fails once
+// another epoch has begun; early is the table's version at that time.
+func New(now time.Time, epoch lease.Epoch, guard table.Check, early table.Version, settings *configuration.Configuration, options ...Option) *Core {
+	config := Config{Hold: 6 * time.Second, Answer: 1500 * time.Millisecond, Retry: 300 * time.Millisecond, Stop: time.Second}
+	for _, option := range options {
+		option(&config)
+	}
+	return &Core{
+		config: config, epoch: epoch, guard: guard, began: now, early: early, settings: settings,
+		jobs:    make(map[work.JobID]*job),
+		workers: make(map[control.AgentID]*worker),
+		absent:  make(map[control.AgentID]bool),
+		paces:   make(map[work.QueueID]*pace),
+		log:     func(Line) {},
+	}
+}
+
+// Configure takes a newer configuration.
+func (c *Core) Configure(settings *configuration.Configuration) {
+	if c.settings == nil || settings.Version > c.settings.Version {
+		c.settings = settings
+		c.plan = true
+	}
+}
+
+// Tick lets time pass: workers that were silent too long are lost, occurrences
+// become due, and waiting tasks are placed.
+func (c *Core) Tick(now time.Time) {
+	c.settle(now)
+	for _, w := range c.sorted() {
+		if !w.lost && now.After(w.expiry) {
+			c.lose(now, w, "silent")
+		}
+	}
+	for _, j := range c.live {
+		c.advance(now, j)
+	}
+	c.prune()
+	if c.plan || c.delayed(now) {
+		c.plan = false
+		c.schedule(now)
+	}
+}
+
+// settle ends the time in which tasks of the former leader may run at agents
+// that have not been heard of.
+func (c *Core) settle(now time.Time) {
+	if c.settled {
+		return
+	}
+	if len(c.absent) > 0 && now.Before(c.began.Add(c.patience())) {
+		return
+	}
+	c.settled = true
+	c.plan = true
+	c.log(Line{Event: "settled", Epoch: c.epoch, Age: now.Sub(c.began), Count: len(c.absent)})
+	c.absent = make(map[control.AgentID]bool)
+	c.mend(now)
+}
+
+// patience is how long a task may run after the leader's last word to its agent.
+func (c *Core) patience() time.Duration {
+	return time.Duration(float64(c.config.Hold)*slowClock) + c.config.Answer
+}
--- /dev/null
+++ b/internal/region/worker.go
@@ -0,0 +1,407 @@
+package region
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/plan"
+	"github.com/lovageroad/lovageroad/internal/work"
+)
+
+type (
+	// worker is an agent with its runner, as the leader knows them.
+	worker struct {
+		core *Core
+		id   control.AgentID
+		life control.Life
+		seq  uint64
+
+		// fence counts the lives of the agent that this leader has met.
+		fence  uint16
+		serial control.Serial
+		runner *control.Runner
+		listed bool
+		dark   bool
+
+		// recorded says that the table knows of the agent, so that a later
+		// leader waits for it.
+		recorded, recording bool
+
+		// expiry is when all that runs has lapsed unless the leader speaks to
+		// the agent before.
+		expiry time.Time
+		lost   bool
+		held   map[work.TaskID]*hold
+
+		// counted is the last end taken in, noted the last one that is durable.
+		counted, noted control.EndID
+		ends           []end
+
+		// woken says that there are orders that the agent has not been sent.
+		woken bool
+
+		// streak counts failures since the last task that was done.
+		streak int
+		rest   time.Time
+	}
+
+	// hold is a task that takes room on a worker, or may take it.
+	hold struct {
+		run      work.Run
+		claim    work.Resources
+		reported bool
+
+		// sent is the first word of the present life that carried the start.
+		sent  control.Serial
+		stray bool
+	}
+
+	// end is an end that is not durable yet.
+	end struct {
+		n      control.EndID
+		job    *job
+		change uint64
+	}
+)
+
+// sorted returns the workers in the order of their names.
+func (c *Core) sorted() []*worker {
+	workers := make([]*worker, 0, len(c.workers))
+	for _, w := range c.workers {
+		workers = append(workers, w)
+	}
+	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+	return workers
+}
+
+func (w *worker) notify() {
+	if !w.woken {
+		w.woken = true
+	}
+}
+
+// Report takes in what an agent knows. It returns false if the report is older
+// than one taken in before.
+func (c *Core) Report(now time.Time, r control.Report) bool {
+	w, ok := c.workers[r.Agent]
+	if !ok {
+		w = &worker{core: c, id: r.Agent, held: make(map[work.TaskID]*hold), expiry: now.Add(c.patience())}
+		c.workers[r.Agent] = w
+	}
+	if r.Life == w.life && r.Seq <= w.seq {
+		return false
+	}
+	if r.Life != w.life {
+		w.reborn(r.Life)
+		c.log(Line{Event: "agent joined", Worker: w.id, Count: len(r.Tasks)})
+	}
+	w.seq = r.Seq
+	if w.lost {
+		w.lost = false
+		c.log(Line{Event: "worker back", Worker: w.id})
+	}
+	if r.Epoch != c.epoch {
+		r.Heard = 0
+	}
+	c.meet(now, w, r)
+	return true
+}
+
+// reborn takes note of another process of the agent, which knows no orders.
+func (w *worker) reborn(life control.Life) {
+	w.life = life
+	w.fence++
+	w.listed = false
+	w.serial = 0
+	for _, h := range w.held {
+		h.sent = 0
+	}
+	w.notify()
+}
+
+// meet compares what the agent says with what the leader believes.
+func (c *Core) meet(now time.Time, w *worker, r control.Report) {
+	if r.Runner == nil {
+		return
+	}
+	if w.runner == nil || w.runner.ID != r.Runner.ID {
+		c.replace(now, w, r)
+	}
+	if w.runner == nil || w.runner.Draining != r.Runner.Draining || w.dark != r.Lost {
+		c.plan = true
+	}
+	runner := *r.Runner
+	w.runner = &runner
+	w.dark = r.Lost
+	for _, e := range r.Ends {
+		c.end(now, w, e)
+	}
+	for _, refusal := range r.Refusals {
+		c.refused(now, w, refusal)
+	}
+	if r.Listed {
+		c.list(now, w, r)
+	}
+}
+
+// replace takes note of another life of the runner: what the former one ran is
+// gone.
+func (c *Core) replace(now time.Time, w *worker, r control.Report) {
+	if w.runner != nil {
+		c.log(Line{Event: "runner replaced", Worker: w.id, Runner: r.Runner.ID, Count: len(w.held)})
+		c.release(now, w)
+	}
+	w.counted, w.noted, w.ends = 0, 0, nil
+	w.streak, w.rest = 0, time.Time{}
+	c.plan = true
+}
+
+// lose gives up all that ran on a worker.
+func (c *Core) lose(now time.Time, w *worker, why string) {
+	w.lost = true
+	w.listed = false
+	c.log(Line{Event: "worker lost", Worker: w.id, Outcome: why, Count: len(w.held)})
+	c.release(now, w)
+}
+
+// release makes all tasks of a worker wait again.
+func (c *Core) release(now time.Time, w *worker) {
+	for _, id := range w.tasks() {
+		c.vacate(now, w, id, w.held[id].run, "lost")
+	}
+}
+
+// tasks returns what the worker holds, in a fixed order.
+func (w *worker) tasks() []work.TaskID {
+	ids := make([]work.TaskID, 0, len(w.held))
+	for id := range w.held {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, compareTasks)
+	return ids
+}
+
+func compareTasks(a, b work.TaskID) int {
+	return cmp.Or(
+		cmp.Compare(a.Job, b.Job),
+		cmp.Compare(a.Occurrence, b.Occurrence),
+		cmp.Compare(a.Step, b.Step),
+		cmp.Compare(a.Index, b.Index),
+	)
+}
+
+// list compares the tasks that the runner has with those that it should have.
+func (c *Core) list(now time.Time, w *worker, r control.Report) {
+	w.listed = true
+	present := make(map[work.TaskID]work.Run, len(r.Tasks))
+	for _, t := range r.Tasks {
+		present[t.ID] = max(present[t.ID], t.Run)
+		c.listTask(now, w, t)
+	}
+	for _, id := range w.tasks() {
+		h := w.held[id]
+		if run, ok := present[id]; ok && run == h.run {
+			continue
+		}
+		if h.reported || h.sent != 0 && r.Heard >= h.sent {
+			c.vacate(now, w, id, h.run, "gone")
+		}
+	}
+	if c.absent[w.id] {
+		delete(c.absent, w.id)
+	}
+}
+
+// listTask takes note of one task at a runner: it is one that was ordered, one
+// that a former leader ordered, or one that must stop.
+func (c *Core) listTask(now time.Time, w *worker, r control.Task) {
+	h := w.held[r.ID]
+	if h == nil || h.run != r.Run {
+		h = c.discover(now, w, r)
+	}
+	h.reported = true
+	j, s, t := c.find(r.ID)
+	if t == nil || t.worker != w || t.run != r.Run {
+		return
+	}
+	t.reported = true
+	if !j.began {
+		j.began = true
+	}
+	t.percent = r.Percent
+	if r.Checkpoint != "" && s.spec.Checkpoints {
+		s.keep(t, r.Checkpoint)
+	}
+}
+
+// keep takes note of saved progress, which holds for the whole gang.
+func (s *step) keep(t *task, checkpoint work.Checkpoint) {
+	if !s.spec.Gang {
+		t.checkpoint = checkpoint
+		return
+	}
+	for i := range s.tasks {
+		s.tasks[i].checkpoint = checkpoint
+	}
+}
+
+// discover takes note of a task that this leader did not order on the worker.
+func (c *Core) discover(now time.Time, w *worker, r control.Task) *hold {
+	j, s, t := c.find(r.ID)
+	h := &hold{run: r.Run, stray: true}
+	if t != nil {
+		h.claim = s.spec.Claim()
+	}
+	adopt := t != nil && !j.over() && !t.done && t.worker == nil && r.Run > t.run && !c.elsewhere(r.ID, w)
+	w.held[r.ID] = h
+	if !adopt {
+		c.log(Line{Event: "stray task", Task: r.ID, Run: r.Run, Worker: w.id})
+		w.notify()
+		return h
+	}
+	h.stray = false
+	t.worker, t.run, t.reported, t.stopping, t.ordered = w, r.Run, true, false, now
+	c.log(Line{Event: "task adopted", Task: r.ID, Run: r.Run, Worker: w.id})
+	return h
+}
+
+// elsewhere reports whether a task may run on another worker.
+func (c *Core) elsewhere(id work.TaskID, except *worker) bool {
+	for _, w := range c.workers {
+		if w != except && w.held[id] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// vacate frees the room of a run and lets its task wait again.
+func (c *Core) vacate(now time.Time, w *worker, id work.TaskID, run work.Run, why string) {
+	h := w.held[id]
+	if h == nil || h.run != run {
+		return
+	}
+	delete(w.held, id)
+	c.plan = true
+	_, s, t := c.find(id)
+	if t == nil || t.worker != w || t.run != run {
+		return
+	}
+	t.worker, t.reported, t.stopping, t.percent = nil, false, false, 0
+	if !t.done {
+		c.log(Line{Event: "task waits again", Task: id, Run: run, Worker: w.id, Outcome: why, Age: now.Sub(t.ordered)})
+		c.breakGang(s, run)
+	}
+}
+
+// breakGang stops the other members of a gang of which one does not run.
+func (c *Core) breakGang(s *step, run work.Run) {
+	if !s.spec.Gang {
+		return
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.worker != nil && t.run == run && !t.stopping {
+			t.stopping = true
+			t.worker.notify()
+		}
+	}
+}
+
+// mend breaks up gangs of which not all members were found.
+func (c *Core) mend(time.Time) {
+	for _, j := range c.live {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.spec.Gang && s.partial() {
+					c.halt(s)
+				}
+			}
+		}
+	}
+}
+
+// partial reports whether only some members of a gang run, or not all in one
+// run.
+func (s *step) partial() bool {
+	for i := range s.tasks[1:] {
+		a, b := &s.tasks[0], &s.tasks[i+1]
+		if (a.worker == nil) != (b.worker == nil) || a.worker != nil && a.run != b.run {
+			return true
+		}
+	}
+	return false
+}
+
+// refused takes note of a run that did not start and never will.
+func (c *Core) refused(now time.Time, w *worker, r control.Refusal) {
+	_, _, t := c.find(r.Task)
+	if t != nil && t.worker == w && t.run == r.Run && !t.stopping {
+		t.retry = now.Add(c.config.Retry)
+		t.shun(w.id)
+	}
+	c.vacate(now, w, r.Task, r.Run, "refused: "+r.Reason)
+}
+
+// shun keeps the task off a worker while others have room.
+func (t *task) shun(id control.AgentID) {
+	if !slices.Contains(t.avoid, id) {
+		t.avoid = append(t.avoid, id)
+	}
+}
+
+// Woken reports whether there are orders that the agent has not been sent.
+func (c *Core) Woken(agent control.AgentID) bool {
+	w := c.workers[agent]
+	return w != nil && w.woken
+}
+
+// Word returns the orders for an agent. Sending it extends the hold of all that
+// runs there.
+func (c *Core) Word(now time.Time, agent control.AgentID) control.Word {
+	w := c.workers[agent]
+	if w == nil {
+		return control.Word{Leads: true, Epoch: c.epoch}
+	}
+	w.expiry = now.Add(c.patience())
+	w.woken = false
+	w.serial++
+	word := control.Word{Leads: true, Epoch: c.epoch, Serial: w.serial, Fence: w.fence, Noted: w.noted}
+	if w.runner != nil {
+		word.Runner = w.runner.ID
+	}
+	for _, id := range w.tasks() {
+		h := w.held[id]
+		j, _, t := c.find(id)
+		ordered := t != nil && t.worker == w && t.run == h.run && !h.stray
+		switch {
+		case !ordered || t.stopping:
+			word.Stops = append(word.Stops, control.Stop{Task: id, Run: h.run})
+		case !h.reported:
+			word.Starts = append(word.Starts, control.Start{Task: id, Run: h.run, Spec: j.Job.Spec, Checkpoint: t.checkpoint})
+			if h.sent == 0 {
+				h.sent = w.serial
+			}
+		}
+	}
+	return word
+}
+
+// open reports whether tasks may start on the worker.
+func (w *worker) open(now time.Time) bool {
+	return !w.lost && w.listed && !w.dark && w.recorded && !w.runner.Draining && !now.Before(w.rest)
+}
+
+// view returns the worker as the planner sees it.
+func (w *worker) view(now time.Time) plan.Worker {
+	v := plan.Worker{ID: plan.WorkerID(w.id), Closed: true}
+	if w.runner == nil {
+		return v
+	}
+	v.Pool, v.Rack, v.Labels, v.Capacity = w.runner.Pool, w.runner.Rack, w.runner.Labels, w.runner.Capacity
+	v.Closed = !w.open(now)
+	v.Doubt = float64(w.streak)
+	return v
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,218 @@
+// Package relay is a client of the table service that goes through another gate
+// while its own way to the service is closed.
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+const (
+	// directTimeout bounds a call of the service: a service that is slow by a
+	// factor of fifty still answers in it.
+	directTimeout = 800 * time.Millisecond
+
+	// detour is how long calls go through other gates after the own way failed.
+	detour = time.Second
+)
+
+type (
+	// Service is the table service with its feed.
+	Service interface {
+		table.Table
+		table.Feed
+	}
+
+	// Caller has another gate carry out a call.
+	Caller interface {
+		Store(ctx context.Context, to machine.Node, call control.StoreCall) (control.StoreReply, error)
+	}
+
+	// Table is a Service that takes a detour when its own way is closed. It is
+	// safe for use by several goroutines.
+	Table struct {
+		direct Service
+		caller Caller
+		peers  func() []machine.Node
+		now    func() time.Time
+		log    func(open bool, reason string)
+
+		mu     sync.Mutex
+		closed time.Time
+		shut   bool
+		turn   int
+	}
+)
+
+var _ Service = (*Table)(nil)
+
+// New returns a Table that asks the peers while the direct way is closed. Each
+// change of the way is told to log.
+func New(direct Service, caller Caller, peers func() []machine.Node, now func() time.Time, log func(open bool, reason string)) *Table {
+	return &Table{direct: direct, caller: caller, peers: peers, now: now, log: log}
+}
+
+// Serve carries out a call for another process, by the direct way only.
+func (t *Table) Serve(ctx context.Context, call control.StoreCall) control.StoreReply {
+	if !t.open() {
+		return control.StoreReply{Rejected: &table.RejectedError{Reason: "the way to the table is closed here too"}}
+	}
+	reply := carry(ctx, t.direct, call)
+	t.observe(ctx, reply)
+	return reply
+}
+
+// Commit applies a transaction.
+func (t *Table) Commit(ctx context.Context, txn table.Txn) (table.Version, error) {
+	reply := t.call(ctx, control.StoreCall{Commit: &txn})
+	return reply.Version, failure(reply)
+}
+
+// Read returns the rows that exist among the given keys.
+func (t *Table) Read(ctx context.Context, keys []table.Key) ([]table.Row, error) {
+	reply := t.call(ctx, control.StoreCall{Read: keys})
+	return reply.Rows, failure(reply)
+}
+
+// Scan returns up to limit rows with the prefix and after the key after.
+func (t *Table) Scan(ctx context.Context, prefix, after table.Key, limit int) ([]table.Row, error) {
+	reply := t.call(ctx, control.StoreCall{Scan: true, Prefix: prefix, From: after, Limit: limit})
+	return reply.Rows, failure(reply)
+}
+
+// Changes returns what has changed after a version.
+func (t *Table) Changes(ctx context.Context, prefix table.Key, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
+	reply := t.call(ctx, control.StoreCall{Changes: true, Prefix: prefix, After: after, Wait: wait})
+	return reply.Changes, reply.Version, failure(reply)
+}
+
+// Newest returns the version of the newest transaction.
+func (t *Table) Newest(ctx context.Context) (table.Version, error) {
+	reply := t.call(ctx, control.StoreCall{Newest: true})
+	return reply.Version, failure(reply)
+}
+
+// call tries the direct way, and then one peer. A commit that may have been
+// carried out is not tried again: only its caller can tell whether it was.
+func (t *Table) call(ctx context.Context, call control.StoreCall) control.StoreReply {
+	var reply control.StoreReply
+	direct := t.open()
+	if direct {
+		reply = carry(ctx, t.direct, call)
+		t.observe(ctx, reply)
+		if reply.Rejected == nil && (reply.Uncertain == nil || call.Commit != nil) {
+			return reply
+		}
+	}
+	peer, ok := t.next()
+	if !ok {
+		if direct {
+			return reply
+		}
+		reply = carry(ctx, t.direct, call)
+		t.observe(ctx, reply)
+		return reply
+	}
+	limit, cancel := context.WithTimeout(ctx, call.Wait+2*directTimeout)
+	defer cancel()
+	reply, err := t.caller.Store(limit, peer, call)
+	if err != nil {
+		return control.StoreReply{Uncertain: &table.UncertainError{Reason: "no answer from gate " + string(peer)}}
+	}
+	return reply
+}
+
+// open reports whether the direct way is to be tried.
+func (t *Table) open() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closed.IsZero() || t.now().Sub(t.closed) > detour
+}
+
+// next returns the peers in turn.
+func (t *Table) next() (machine.Node, bool) {
+	peers := t.peers()
+	if len(peers) == 0 {
+		return "", false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turn++
+	return peers[t.turn%len(peers)], true
+}
+
+// observe takes note of whether the direct way is open.
+func (t *Table) observe(ctx context.Context, reply control.StoreReply) {
+	reason := ""
+	switch {
+	case reply.Rejected != nil:
+		reason = reply.Rejected.Reason
+	case reply.Uncertain != nil && errors.Is(ctx.Err(), context.Canceled):
+		return
+	case reply.Uncertain != nil:
+		reason = reply.Uncertain.Reason
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = time.Time{}
+	if reason != "" {
+		t.closed = t.now()
+	}
+	if shut := reason != ""; shut != t.shut {
+		t.shut = shut
+		t.log(!shut, reason)
+	}
+}
+
+// carry carries a call out at a service.
+func carry(ctx context.Context, s Service, call control.StoreCall) control.StoreReply {
+	ctx, cancel := context.WithTimeout(ctx, call.Wait+directTimeout)
+	defer cancel()
+	var (
+		reply control.StoreReply
+		err   error
+	)
+	switch {
+	case call.Commit != nil:
+		reply.Version, err = s.Commit(ctx, *call.Commit)
+	case call.Scan:
+		reply.Rows, err = s.Scan(ctx, call.Prefix, call.From, call.Limit)
+	case call.Changes:
+		reply.Changes, reply.Version, err = s.Changes(ctx, call.Prefix, call.After, call.Wait)
+	case call.Newest:
+		reply.Version, err = s.Newest(ctx)
+	default:
+		reply.Rows, err = s.Read(ctx, call.Read)
+	}
+	var uncertain *table.UncertainError
+	switch {
+	case err == nil:
+	case errors.As(err, &reply.Conflict), errors.As(err, &reply.Rejected), errors.As(err, &reply.History):
+	case errors.As(err, &uncertain):
+		reply.Uncertain = uncertain
+	default:
+		reply.Uncertain = &table.UncertainError{Reason: err.Error()}
+	}
+	return reply
+}
+
+// failure returns the error of a reply, or nil.
+func failure(reply control.StoreReply) error {
+	switch {
+	case reply.Conflict != nil:
+		return reply.Conflict
+	case reply.Rejected != nil:
+		return reply.Rejected
+	case reply.Uncertain != nil:
+		return reply.Uncertain
+	case reply.History != nil:
+		return reply.History
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/runner/orders.go
@@ -0,0 +1,384 @@
+package runner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+)
+
+const (
+	// stopAgain is the wait before a stop that did not show is repeated.
+	stopAgain = 700 * time.Millisecond
+
+	// startLife bounds how long after it was sent a runner may still take a
+	// start: a start that is carried out seconds later finds its lease over.
+	startLife = 1500 * time.Millisecond
+
+	// tryAgain is the wait before another gate is asked.
+	tryAgain = 100 * time.Millisecond
+
+	// askAgain is the wait before a runner that did not answer is asked again.
+	askAgain = 200 * time.Millisecond
+)
+
+// onHeard takes in the answer of a gate.
+func (c *Core) onHeard(now time.Time, e Heard) {
+	c.polls--
+	if e.Err != nil {
+		c.lostGate(now, e.Call)
+		return
+	}
+	c.Gates(e.Word.Gates)
+	if !e.Word.Leads {
+		c.follow(now, e)
+		return
+	}
+	if e.Word.Epoch < c.epoch || now.Sub(e.Call.Sent) > c.config.Answer {
+		return
+	}
+	if e.Word.Epoch > c.epoch {
+		c.log("leader found", "epoch", e.Word.Epoch, "leader", e.Call.To, "before", c.epoch)
+		c.epoch, c.heard, c.counter = e.Word.Epoch, 0, 0
+		c.report = true
+	}
+	c.fence = e.Word.Fence
+	c.leader = e.Call.To
+	if e.Word.Serial <= c.heard {
+		return
+	}
+	c.heard = e.Word.Serial
+	if c.runner != nil && e.Word.Runner == c.runner.ID && !c.gone {
+		c.obey(now, e)
+	}
+}
+
+// lostGate asks another gate after one that did not answer.
+func (c *Core) lostGate(now time.Time, call Send) {
+	if call.To == c.leader {
+		c.leader = ""
+	}
+	c.report = true
+	c.nextTry = now.Add(tryAgain)
+}
+
+// follow goes to the leader that another gate names.
+func (c *Core) follow(now time.Time, e Heard) {
+	if e.Word.Epoch >= c.epoch && e.Word.Leader != "" && e.Word.Leader != e.Call.To {
+		c.leader = e.Word.Leader
+	} else if c.leader == e.Call.To {
+		c.leader = ""
+	}
+	c.report = true
+	c.nextTry = now.Add(tryAgain)
+}
+
+// obey carries out a leader's word.
+func (c *Core) obey(now time.Time, e Heard) {
+	c.until = max(c.until, c.clockNow(e.Call.Sent)+Clock(c.config.Hold/time.Millisecond))
+	c.noted = max(c.noted, e.Word.Noted)
+	for n := range c.ends {
+		if n <= c.noted {
+			delete(c.ends, n)
+		}
+	}
+	wanted := make(map[runKey]bool)
+	for _, stop := range e.Word.Stops {
+		wanted[runKey{stop.Task, stop.Run}] = true
+		c.halt(stop)
+	}
+	for _, start := range e.Word.Starts {
+		key := runKey{start.Task, start.Run}
+		wanted[key] = true
+		c.begin(now, key, start)
+	}
+	maps.DeleteFunc(c.refusals, func(key runKey, _ string) bool { return !wanted[key] })
+}
+
+// halt makes a run end. One that is not there never starts.
+func (c *Core) halt(stop control.Stop) {
+	key := runKey{stop.Task, stop.Run}
+	if t := c.tasks[key]; t != nil {
+		t.stop = true
+		return
+	}
+	if c.listed && !c.over(key) {
+		c.refuse(key, "stopped")
+	}
+}
+
+// over reports whether a run is known to have ended.
+func (c *Core) over(key runKey) bool {
+	for _, e := range c.ends {
+		if e.Task == key.task && e.Run == key.run {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) refuse(key runKey, reason string) {
+	if _, ok := c.refusals[key]; ok {
+		return
+	}
+	c.refusals[key] = reason
+	c.report = true
+	c.log("start refused", "task", key.task.String(), "run", key.run, "reason", reason)
+}
+
+// begin starts a task that the agent does not know yet.
+func (c *Core) begin(now time.Time, key runKey, start control.Start) {
+	_, refused := c.refusals[key]
+	if !c.listed || refused || c.tasks[key] != nil || c.over(key) {
+		return
+	}
+	if c.runner.Draining {
+		c.refuse(key, "draining")
+		return
+	}
+	t := &task{start: start, phase: control.Starting}
+	c.tasks[key] = t
+	c.call(now, t)
+}
+
+// call tells the runner to start a task.
+func (c *Core) call(now time.Time, t *task) {
+	t.token = c.token()
+	until := min(c.until, c.clockNow(now)+Clock(startLife/time.Millisecond))
+	c.tried = max(c.tried, until)
+	c.effects = append(c.effects, StartTask{Runner: c.runner.ID, Start: t.start, Token: t.token, Until: until})
+}
+
+// onStart takes in a runner's answer to a start.
+func (c *Core) onStart(now time.Time, e StartResult) {
+	key := runKey{e.Call.Start.Task, e.Call.Start.Run}
+	t := c.tasks[key]
+	if t == nil || t.token != e.Call.Token || c.runner == nil || c.runner.ID != e.Call.Runner {
+		return
+	}
+	if e.Answer != Unanswered {
+		c.contact = now
+	}
+	switch e.Answer {
+	case Accepted:
+		t.phase, t.answered = control.Running, now
+		c.report = true
+	case Fenced:
+		if t.token < c.token() && !t.stop {
+			c.call(now, t)
+			return
+		}
+		delete(c.tasks, key)
+		c.refuse(key, "fenced")
+	case Refused:
+		delete(c.tasks, key)
+		c.refuse(key, e.Reason)
+	default:
+		t.void = true
+		c.counter++
+		c.listing = 0
+		c.log("start unanswered", "task", key.task.String(), "run", key.run, "token", c.token())
+	}
+}
+
+// onStop takes in a runner's answer to a stop.
+func (c *Core) onStop(now time.Time, e StopResult) {
+	t := c.tasks[runKey{e.Call.Stop.Task, e.Call.Stop.Run}]
+	if e.Answer != Unanswered {
+		c.contact = now
+	} else if t != nil {
+		t.stopping = time.Time{}
+	}
+}
+
+// onLook takes in what the runner lists.
+func (c *Core) onLook(now time.Time, e LookResult) {
+	if c.runner == nil || c.runner.ID != e.Call.Runner {
+		return
+	}
+	if e.Call.Number == c.holds {
+		c.waiting = false
+	}
+	switch e.Answer {
+	case Accepted:
+		if e.Call.Number == c.holds {
+			c.take(now, e)
+		}
+	case Other:
+		c.contact = now
+		c.log("runner is another", "runner", c.runner.ID.Name)
+		c.drop()
+	default:
+		c.nextAsk = now.Add(askAgain)
+	}
+}
+
+// take compares the runner's list with what the agent believes.
+func (c *Core) take(now time.Time, e LookResult) {
+	c.clock, c.clockAt, c.contact = e.Clock, now, now
+	c.acked = max(c.acked, e.Call.Noted)
+	if c.gone || !c.listed {
+		c.gone, c.listed, c.report = false, true, true
+	}
+	c.listing = e.Call.Number
+	for _, end := range e.Ends {
+		if end.N <= c.noted {
+			continue
+		}
+		if _, known := c.ends[end.N]; !known {
+			c.ends[end.N] = end
+			c.report = true
+		}
+		delete(c.tasks, runKey{end.Task, end.Run})
+	}
+	present := make(map[runKey]bool, len(e.Tasks))
+	for _, r := range e.Tasks {
+		key := runKey{r.ID, r.Run}
+		present[key] = true
+		c.see(now, key, r)
+	}
+	for _, key := range c.keys() {
+		if !present[key] {
+			c.missing(key, e)
+		}
+	}
+}
+
+// see takes note of a task that the runner lists.
+func (c *Core) see(now time.Time, key runKey, r control.Task) {
+	t := c.tasks[key]
+	if t == nil {
+		t = &task{start: control.Start{Task: r.ID, Run: r.Run}, answered: now}
+		c.tasks[key] = t
+		c.report = true
+	}
+	if t.phase != control.Running || t.void {
+		t.phase, t.answered, t.void = control.Running, now, false
+		c.report = true
+	}
+	t.percent, t.saved = r.Percent, r.Checkpoint
+}
+
+// missing decides about a task that the runner does not list.
+func (c *Core) missing(key runKey, e LookResult) {
+	t := c.tasks[key]
+	switch {
+	case t.void && e.Call.Token > t.token:
+		delete(c.tasks, key)
+		c.refuse(key, "unanswered")
+	case t.phase == control.Running && !t.void && e.Call.Sent.After(t.answered):
+		delete(c.tasks, key)
+		c.report = true
+	}
+}
+
+// work asks the runner and the leader for what is due.
+func (c *Core) work(now time.Time) {
+	c.stops(now)
+	c.look(now)
+	c.expire(now)
+	c.tell(now)
+}
+
+func (c *Core) stops(now time.Time) {
+	if c.runner == nil || c.gone {
+		return
+	}
+	for _, key := range c.keys() {
+		t := c.tasks[key]
+		if !t.stop || t.phase != control.Running || now.Sub(t.stopping) < stopAgain {
+			continue
+		}
+		t.stopping = now
+		c.effects = append(c.effects, StopTask{
+			Runner: c.runner.ID, Stop: control.Stop{Task: key.task, Run: key.run}, Token: c.token(),
+		})
+	}
+}
+
+// look asks the runner for its list, and at once if a start is in doubt.
+func (c *Core) look(now time.Time) {
+	if c.runner == nil || c.epoch == 0 || now.Before(c.nextAsk) {
+		return
+	}
+	doubt := !c.listed || c.gone || slices.ContainsFunc(slices.Collect(maps.Values(c.tasks)), func(t *task) bool { return t.void })
+	urgent := doubt && c.listing == 0
+	if c.waiting && !urgent {
+		return
+	}
+	if !doubt && len(c.tasks) == 0 && c.acked >= c.noted {
+		return
+	}
+	wait := c.config.Look
+	if doubt || len(c.tasks) == 0 {
+		wait = 0
+	}
+	until := c.until
+	if now.Sub(c.contact) > c.config.Dark {
+		until = 0
+	}
+	c.tried = max(c.tried, until)
+	c.holds++
+	c.waiting, c.listing = true, c.holds
+	c.effects = append(c.effects, Look{
+		Runner: c.runner.ID, Number: c.holds, Sent: now, Token: c.token(), Until: until, Noted: c.noted, Wait: wait,
+	})
+}
+
+// expire gives up what a silent runner had, once its lease has run out by its
+// own clock.
+func (c *Core) expire(now time.Time) {
+	if c.runner == nil || c.gone || !c.listed || now.Sub(c.contact) <= c.config.Dark {
+		return
+	}
+	left := time.Duration(c.tried-c.clock) * time.Millisecond
+	if now.Sub(c.clockAt) > left+left/25+c.config.Answer {
+		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.contact))
+		c.drop()
+	}
+}
+
+// tell reports to the leader: at once if something has changed, and again when
+// the last report is answered.
+func (c *Core) tell(now time.Time) {
+	if now.Before(c.nextTry) || c.polls > 0 && !c.report || c.polls > 2 {
+		return
+	}
+	to := c.leader
+	if to == "" {
+		if len(c.gates) == 0 {
+			return
+		}
+		to = c.gates[c.turn%len(c.gates)]
+		c.turn++
+	}
+	c.report = false
+	c.polls++
+	c.seq++
+	c.effects = append(c.effects, Send{To: to, Report: c.compose(), Sent: now})
+}
+
+func (c *Core) compose() control.Report {
+	r := control.Report{
+		Agent: c.id, Life: c.life, Seq: c.seq, Epoch: c.epoch, Heard: c.heard,
+		Listed: c.listed, Lost: c.gone, Wait: c.config.Poll,
+	}
+	if c.runner != nil {
+		runner := *c.runner
+		r.Runner = &runner
+	}
+	for _, key := range c.keys() {
+		t := c.tasks[key]
+		r.Tasks = append(r.Tasks, control.Task{
+			ID: key.task, Run: key.run, Phase: t.phase, Checkpoint: t.saved, Percent: t.percent,
+		})
+	}
+	for _, n := range slices.Sorted(maps.Keys(c.ends)) {
+		r.Ends = append(r.Ends, c.ends[n])
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(c.refusals), compareRuns) {
+		r.Refusals = append(r.Refusals, control.Refusal{Task: key.task, Run: key.run, Reason: c.refusals[key]})
+	}
+	return r
+}
--- /dev/null
+++ b/internal/serve/gate.go
@@ -0,0 +1,410 @@
+// Package serve runs the cores of gates and agents in a process: it connects
+// them with the platform's services, the other processes and the clock.
+package serve
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/lovageroad/lovageroad/internal/configuration"
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/entry"
+	"github.com/lovageroad/lovageroad/internal/loop"
+	"github.com/lovageroad/lovageroad/internal/region"
+	"github.com/lovageroad/lovageroad/internal/relay"
+	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/boottime"
+	"github.com/lovageroad/lovageroad/pkg/lease"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+const (
+	// gatePrefix begins the keys of the rows by which gates find each other.
+	gatePrefix table.Key = "gate/"
+
+	// leaseKey is the row of the right to lead.
+	leaseKey table.Key = "lease/leader"
+
+	// term is how long the leader is silent before another gate takes over.
+	term = 2 * time.Second
+
+	// renewal is the time between two renewals, four in a term.
+	renewal = 500 * time.Millisecond
+
+	// electorTick is the time between two looks at the lease.
+	electorTick = 100 * time.Millisecond
+
+	// storeTimeout bounds a call of the elector: below the term, so that a
+	// renewal without an answer is tried again in time.
+	storeTimeout = 900 * time.Millisecond
+
+	// feedWait is how long the table waits for a change. Each answer confirms
+	// the configuration, so that it bounds its age too.
+	feedWait = time.Second
+
+	// retryPause is the wait after a call of the table that failed.
+	retryPause = 100 * time.Millisecond
+
+	// memberPause is the time between two looks for other gates.
+	memberPause = 3 * time.Second
+
+	// askTimeout bounds a question to the leader, before the table is asked.
+	askTimeout = 400 * time.Millisecond
+
+	// scanPage is the number of rows that are read at a time.
+	scanPage = 500
+)
+
+type (
+	// Decoder decodes the row of the configuration.
+	Decoder func(value []byte) (*configuration.Configuration, error)
+
+	// GateConfig is what a gate is told.
+	GateConfig struct {
+		Node    machine.Node
+		Seeds   []machine.Node
+		Service relay.Service
+		Key     table.Key
+		Decode  Decoder
+		Hold    time.Duration
+		Stop    time.Duration
+	}
+
+	// Gate is the process of an entry VM: it accepts jobs, and leads the region
+	// when it is elected.
+	Gate struct {
+		config  GateConfig
+		table   *relay.Table
+		client  *control.Client
+		holder  *configuration.Holder
+		entry   *entry.Entry
+		ctx     context.Context
+		cancel  context.CancelFunc
+		leaving chan struct{}
+		once    sync.Once
+
+		mu      sync.Mutex
+		peers   []machine.Node
+		current lease.Lease
+		leader  *leader
+		elector *lease.Elector
+		store   *machine.Store
+	}
+)
+
+// NewGate returns a gate that begins to serve with Run.
+func NewGate(config GateConfig) *Gate {
+	g := &Gate{
+		config: config, client: control.NewClient(), holder: configuration.NewHolder(),
+		leaving: make(chan struct{}), peers: config.Seeds,
+	}
+	g.table = relay.New(config.Service, g.client, g.others, boottime.Now, logWay)
+	g.entry = entry.New(g.table, g, g.holder, config.Key)
+	g.store = machine.NewStore()
+	g.elector = lease.NewElector(leaseKey, config.Node, g.store,
+		lease.WithTerm(term), lease.WithRenewal(renewal), lease.WithChanged(g.elected))
+	return g
+}
+
+func logWay(open bool, reason string) {
+	klog.InfoS("way to the table changed", "open", open, "reason", reason)
+}
+
+// Entry returns what accepts jobs.
+func (g *Gate) Entry() *entry.Entry { return g.entry }
+
+// Holder returns the configuration that the gate has.
+func (g *Gate) Holder() *configuration.Holder { return g.holder }
+
+// Run serves until Leave has been called and the lease is given up.
+func (g *Gate) Run(ctx context.Context) {
+	g.ctx, g.cancel = context.WithCancel(ctx)
+	go g.watch()
+	go g.meet()
+	g.campaign()
+}
+
+// Leave gives the lease up.
+func (g *Gate) Leave() {
+	g.once.Do(func() { close(g.leaving) })
+}
+
+// others returns the other gates.
+func (g *Gate) others() []machine.Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	others := make([]machine.Node, 0, len(g.peers))
+	for _, p := range g.peers {
+		if p != g.config.Node {
+			others = append(others, p)
+		}
+	}
+	return others
+}
+
+// pause waits and returns false if the gate ends.
+func (g *Gate) pause(d time.Duration) bool {
+	select {
+	case <-g.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// watch follows the configuration.
+func (g *Gate) watch() {
+	var after table.Version
+	for g.ctx.Err() == nil {
+		asked := boottime.Now()
+		if after == 0 {
+			after = g.reread(asked)
+			continue
+		}
+		changes, version, err := g.table.Changes(g.ctx, g.config.Key, after, feedWait)
+		var history *table.HistoryError
+		switch {
+		case errors.As(err, &history):
+			klog.InfoS("history of the table is gone", "after", after)
+			after = 0
+			continue
+		case err != nil:
+			g.pause(retryPause)
+			continue
+		}
+		for _, change := range changes {
+			if !change.Deleted {
+				g.accept(change.Row, asked)
+			}
+		}
+		g.holder.Confirm(asked)
+		after = max(after, version)
+	}
+}
+
+// reread reads the configuration and returns the version after which changes
+// are to be followed, or 0 if it could not be read.
+func (g *Gate) reread(asked time.Time) table.Version {
+	newest, err := g.table.Newest(g.ctx)
+	if err == nil {
+		err = g.Refresh(g.ctx)
+	}
+	if err != nil || newest == 0 {
+		g.pause(retryPause)
+		return 0
+	}
+	if c, _ := g.holder.Current(); c == nil {
+		g.pause(retryPause)
+		return 0
+	}
+	g.holder.Confirm(asked)
+	return newest
+}
+
+// Refresh reads the configuration.
+func (g *Gate) Refresh(ctx context.Context) error {
+	asked := boottime.Now()
+	rows, err := g.table.Read(ctx, []table.Key{g.config.Key})
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		g.accept(row, asked)
+	}
+	return nil
+}
+
+func (g *Gate) accept(row table.Row, asked time.Time) {
+	c, err := g.config.Decode(row.Value)
+	if err != nil {
+		klog.ErrorS(err, "configuration unreadable", "row", row.Version)
+		return
+	}
+	if !g.holder.Accept(c, row.Version, asked) {
+		return
+	}
+	klog.InfoS("configuration in force", "version", c.Version, "row", row.Version, "queues", len(c.Queues), "accounts", len(c.Accounts))
+	if l := g.leading(); l != nil {
+		l.configure(c)
+	}
+}
+
+// meet announces the gate and finds the others.
+func (g *Gate) meet() {
+	written := false
+	for g.ctx.Err() == nil {
+		if !written {
+			key := gatePrefix + table.Key(g.config.Node)
+			_, err := g.table.Commit(g.ctx, table.Txn{Writes: []table.Write{{Key: key, Value: []byte{}}}})
+			written = err == nil
+		}
+		rows, err := g.table.Scan(g.ctx, gatePrefix, "", scanPage)
+		if err == nil {
+			g.mu.Lock()
+			g.peers = nodes(rows)
+			g.mu.Unlock()
+		}
+		wait := memberPause
+		if !written || err != nil {
+			wait = retryPause
+		}
+		g.pause(wait)
+	}
+}
+
+func nodes(rows []table.Row) []machine.Node {
+	found := make([]machine.Node, 0, len(rows))
+	for _, row := range rows {
+		found = append(found, machine.Node(row.Key[len(gatePrefix):]))
+	}
+	return found
+}
+
+// campaign renews the lease, or takes it over when its holder is silent.
+func (g *Gate) campaign() {
+	leaving := false
+	for g.ctx.Err() == nil {
+		select {
+		case <-g.leaving:
+			if !leaving {
+				leaving = true
+				g.resign()
+			}
+		default:
+		}
+		g.elect(func(now time.Time) { g.elector.Tick(now) })
+		if leaving && g.leading() == nil {
+			return
+		}
+		g.pause(electorTick)
+	}
+}
+
+func (g *Gate) resign() {
+	g.elect(func(now time.Time) { g.elector.Resign(now) })
+}
+
+// elect lets the elector act, and carries out what it asks of the table.
+func (g *Gate) elect(act func(now time.Time)) {
+	g.mu.Lock()
+	now := boottime.Now()
+	g.store.Advance(now)
+	act(now)
+	effects := g.store.Take()
+	g.mu.Unlock()
+	for len(effects) > 0 {
+		ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
+		result := loop.Carry(ctx, g.table, nil, effects[0])
+		cancel()
+		g.mu.Lock()
+		g.store.Advance(boottime.Now())
+		g.store.Resolve(result)
+		effects = append(effects[1:], g.store.Take()...)
+		g.mu.Unlock()
+	}
+}
+
+// elected takes note of another leader. The caller holds the lock.
+func (g *Gate) elected(current lease.Lease, held bool) {
+	if current.Epoch != g.current.Epoch || current.Holder != g.current.Holder || held != (g.leader != nil) {
+		klog.InfoS("leader changed", "epoch", current.Epoch, "holder", current.Holder, "self", held)
+	}
+	g.current = current
+	if g.leader != nil && (!held || g.leader.epoch != current.Epoch) {
+		g.leader.end()
+		g.leader = nil
+	}
+	if held && g.leader == nil {
+		g.leader = newLeader(g, current.Epoch, g.elector.Guard())
+		go g.leader.run()
+	}
+}
+
+// leading returns the leader of this gate, or nil if another one leads.
+func (g *Gate) leading() *leader {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leader
+}
+
+// valid reports whether no other gate can lead.
+func (g *Gate) valid() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.elector.Valid(boottime.Now())
+}
+
+// depose makes the gate look at the lease again.
+func (g *Gate) depose() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.elector.Depose(boottime.Now())
+}
+
+// redirect returns the word of a gate that does not lead.
+func (g *Gate) redirect() control.Word {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return control.Word{Leader: g.current.Holder, Epoch: g.current.Epoch, Gates: g.peers}
+}
+
+// Report answers an agent.
+func (g *Gate) Report(ctx context.Context, report control.Report) control.Word {
+	if l := g.leading(); l != nil {
+		if word, ok := l.report(ctx, report); ok {
+			return word
+		}
+	}
+	return g.redirect()
+}
+
+// Ask answers a question of another gate.
+func (g *Gate) Ask(_ context.Context, question control.Question) control.Reply {
+	l := g.leading()
+	if l == nil {
+		return control.Reply{}
+	}
+	return l.answer(question)
+}
+
+// Store carries out a call of the table for another process.
+func (g *Gate) Store(ctx context.Context, call control.StoreCall) control.StoreReply {
+	return g.table.Serve(ctx, call)
+}
+
+// ask asks the leader.
+func (g *Gate) ask(ctx context.Context, question control.Question) control.Reply {
+	if l := g.leading(); l != nil {
+		return l.answer(question)
+	}
+	to := g.redirect().Leader
+	if to == "" || to == g.config.Node {
+		return control.Reply{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := g.client.Ask(ctx, to, question)
+	if err != nil {
+		klog.V(1).InfoS("leader did not answer", "leader", to, "reason", err)
+		return control.Reply{}
+	}
+	return reply
+}
+
+// State asks the leader for the state of a job.
+func (g *Gate) State(ctx context.Context, id work.JobID) (state region.State, known, ok bool) {
+	reply := g.ask(ctx, control.Question{Job: id})
+	return region.State(reply.State), reply.Known, reply.Leads
+}
+
+// Waiting asks the leader how many jobs of a queue have not begun. It returns
+// false if no leader answers.
+func (g *Gate) Waiting(ctx context.Context, queue work.QueueID) (int, bool) {
+	reply := g.ask(ctx, control.Question{Queue: queue})
+	return reply.Waiting, reply.Leads
+}
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -65,6 +65,8 @@
 		guard    table.Version
 		seen     time.Time
 		silent   time.Duration
+		asked    time.Time
+		valid    time.Time
 		next     time.Time
 		held     bool
 		busy     bool
@@ -145,6 +147,12 @@
 	return e.seen
 }
 
+// Valid reports whether this node holds the lease and no challenger can have
+// taken it over: the last renewal was asked for less than the term ago.
+func (e *Elector) Valid(now time.Time) bool {
+	return e.held && now.Sub(e.valid) < e.config.Term
+}
+
 // Vacant reports whether this node neither holds the lease nor is named as its
 // holder.
 func (e *Elector) Vacant() bool {
@@ -242,6 +250,7 @@
 		wanted.Epoch++
 	}
 	e.busy = true
+	e.asked = e.store.Now()
 	e.commit(wanted, !e.held, func(result machine.Stored) {
 		e.busy = false
 		e.settle(wanted, result)
@@ -309,6 +318,7 @@
 	before, held := e.lease, e.held
 	e.lease, e.version, e.guard, e.held = current, version, guard, held || !e.resigned
 	e.seen, e.silent = e.store.Now(), 0
+	e.valid = e.asked
 	if !held || before.Epoch != current.Epoch {
 		e.config.Changed(e.lease, e.held)
 	}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 )
 
 const (
@@ -73,6 +74,30 @@
 		Get(ctx context.Context, name string) ([]byte, error)
 	}
 
+	// Change is a row that was written or deleted.
+	Change struct {
+		Row
+		Deleted bool `json:"deleted,omitempty"`
+	}
+
+	// Feed tells what has changed in the table.
+	Feed interface {
+		// Changes returns the changes of rows with the prefix after a version, in
+		// their order, and the version up to which they are complete. It waits for
+		// a change for up to wait. It returns a HistoryError if the service has
+		// dropped changes after that version.
+		Changes(ctx context.Context, prefix Key, after Version, wait time.Duration) ([]Change, Version, error)
+
+		// Newest returns the version of the newest transaction. Rows that are
+		// read afterwards hold all changes up to it.
+		Newest(ctx context.Context) (Version, error)
+	}
+
+	// HistoryError says that changes after a version are not kept any more.
+	HistoryError struct {
+		After Version
+	}
+
 	// ConflictError says that a check of a transaction failed and that nothing
 	// was written.
 	ConflictError struct {
@@ -102,6 +127,10 @@
 	return fmt.Sprintf("row %s has version %d, not %d", e.Key, e.Have, e.Want)
 }
 
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("changes after version %d are not kept", e.After)
+}
+
 func (e *RejectedError) Error() string {
 	return "not carried out: " + e.Reason
 }
