Write a job's record only over the version that the leader knows

A write of records at 1.0 s got no answer, the job ended and its end was written at 2.9 s, and then the first write landed and put the record back. The next leader started two done tasks again. Ruled out: a lost write (the leader repeated it), a deposed leader (one epoch). Also: an idle runner is no longer taken to be silent between two beats. Conclusion: each record is checked against its version; a conflict on a record reads the version again, one on the guard deposes.

--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -57,6 +57,10 @@
 		// that are durable; shown is the durable state.
 		changed, saved uint64
 		shown          State
+
+		// version is that of the record's row; unsure says that it is not known.
+		version table.Version
+		unsure  bool
 	}
 
 	// occurrence is one run of the steps of a job.
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -28,8 +28,8 @@
 	AgentPrefix table.Key = "agent/"
 
 	// maxBatch is the largest number of rows in a transaction of the leader:
-	// with its check it stays below the platform's bound of 100 entries.
-	maxBatch = 60
+	// with its checks it stays below the platform's bound of 100 entries.
+	maxBatch = 45
 )
 
 type (
@@ -62,7 +62,9 @@
 		Checkpoint work.Checkpoint `cbor:"3,keyasint,omitempty"`
 	}
 
-	// Batch is a transaction of the leader, and what becomes durable with it.
+	// Batch is a transaction of the leader, and what becomes durable with it. A
+	// record is written only over the version that the leader knows, so that a
+	// write without an answer that lands late can't undo a later one.
 	Batch struct {
 		Txn    table.Txn
 		jobs   []*job
@@ -78,6 +80,7 @@
 		c.absent[control.AgentID(row.Key[len(AgentPrefix):])] = true
 	}
 	byJob := make(map[work.JobID]Record, len(records))
+	versions := make(map[work.JobID]table.Version, len(records))
 	for _, row := range records {
 		var r Record
 		id := work.JobID(row.Key[len(RecordPrefix):])
@@ -86,12 +89,14 @@
 			continue
 		}
 		byJob[id] = r
+		versions[id] = row.Version
 	}
 	for _, row := range jobs {
 		c.Row(now, row)
 	}
 	for id, r := range byJob {
 		if j := c.jobs[id]; j != nil {
+			j.version = versions[id]
 			c.restore(now, j, r)
 		}
 	}
@@ -226,7 +231,7 @@
 		}
 	}
 	for _, j := range c.live {
-		if j.saved >= j.changed || len(b.Txn.Writes) >= maxBatch {
+		if j.saved >= j.changed || j.unsure || len(b.Txn.Writes) >= maxBatch {
 			continue
 		}
 		value, err := cbor.Marshal(j.record())
@@ -237,7 +242,8 @@
 		b.jobs = append(b.jobs, j)
 		b.marks = append(b.marks, j.changed)
 		b.states = append(b.states, j.state)
-		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: RecordPrefix + table.Key(j.Job.ID), Value: value})
+		b.Txn.Checks = append(b.Txn.Checks, table.Check{Key: j.key(), Version: j.version})
+		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: j.key(), Value: value})
 	}
 	if len(b.Txn.Writes) == 0 {
 		return nil
@@ -248,13 +254,16 @@
 
 // Saved takes the result of a batch. It returns false if another leader has
 // begun.
-func (c *Core) Saved(b *Batch, err error) bool {
+func (c *Core) Saved(b *Batch, version table.Version, err error) bool {
 	c.saving = false
 	var conflict *table.ConflictError
-	if errors.As(err, &conflict) {
+	if errors.As(err, &conflict) && conflict.Key == c.guard.Key {
 		return false
 	}
 	if err != nil {
+		for _, j := range b.jobs {
+			j.unsure = conflict != nil
+		}
 		c.log(Line{Event: "records not written", Outcome: err.Error(), Count: len(b.Txn.Writes)})
 		return true
 	}
@@ -265,8 +274,40 @@
 	for i, j := range b.jobs {
 		j.saved = b.marks[i]
 		j.shown = b.states[i]
+		j.version = version
 	}
 	c.note()
 	c.prune()
 	return true
 }
+
+// Unsure returns the keys of the records whose versions are not known since an
+// earlier write landed after all. The caller reads them and calls Resync.
+func (c *Core) Unsure() []table.Key {
+	var keys []table.Key
+	for _, j := range c.live {
+		if j.unsure {
+			keys = append(keys, j.key())
+		}
+	}
+	return keys
+}
+
+// Resync takes the versions of the records with the given keys.
+func (c *Core) Resync(keys []table.Key, rows []table.Row) {
+	versions := make(map[table.Key]table.Version, len(rows))
+	for _, row := range rows {
+		versions[row.Key] = row.Version
+	}
+	for _, key := range keys {
+		id, _ := cut(key, RecordPrefix)
+		if j := c.jobs[work.JobID(id)]; j != nil {
+			j.version, j.unsure = versions[key], false
+		}
+	}
+}
+
+// key returns the key of the job's record.
+func (j *job) key() table.Key {
+	return RecordPrefix + table.Key(j.Job.ID)
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -332,6 +332,9 @@
 	if c.runner == nil || c.gone || !c.listed || now.Sub(c.contact) <= c.config.Dark {
 		return
 	}
+	if len(c.tasks) == 0 && now.Sub(c.beatAt) <= c.config.Quiet {
+		return
+	}
 	left := time.Duration(c.tried-c.clock) * time.Millisecond
 	if now.Sub(c.clockAt) > left+left/25+c.config.Answer {
 		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.contact))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -62,6 +62,10 @@
 		// Dark is the silence of a runner after which its lease is not
 		// extended.
 		Dark time.Duration
+
+		// Quiet is the silence of an idle runner, that of its beats too, after
+		// which it gets no work.
+		Quiet time.Duration
 	}
 
 	// Option sets a field of a Config.
@@ -90,7 +94,8 @@
 		beat   uint64
 		clock  Clock
 		clockAt,
-		contact time.Time
+		contact,
+		beatAt time.Time
 		listed   bool
 		gone     bool
 		until    Clock
@@ -224,7 +229,7 @@
 func New(id control.AgentID, life control.Life, gates []machine.Node, options ...Option) *Core {
 	config := Config{
 		Hold: 6 * time.Second, Answer: 1500 * time.Millisecond, Look: 500 * time.Millisecond,
-		Poll: 600 * time.Millisecond, Dark: 1500 * time.Millisecond,
+		Poll: 600 * time.Millisecond, Dark: 1500 * time.Millisecond, Quiet: 3500 * time.Millisecond,
 	}
 	for _, option := range options {
 		option(&config)
@@ -300,7 +305,7 @@
 	}
 	runner := e.Runner
 	c.runner = &runner
-	c.beat = e.Seq
+	c.beat, c.beatAt = e.Seq, now
 }
 
 // onLeft takes note that the runner has left, with all that it ran.
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -219,18 +219,21 @@
 
 // saveOnce writes one batch and returns whether there may be another one.
 func (l *leader) saveOnce() bool {
+	if !l.resync() {
+		return l.pause(retryPause)
+	}
 	l.mu.Lock()
 	batch := l.core.Batch()
 	l.mu.Unlock()
 	if batch == nil {
 		return false
 	}
-	_, err := l.gate.table.Commit(l.ctx, batch.Txn)
+	version, err := l.gate.table.Commit(l.ctx, batch.Txn)
 	if l.ctx.Err() != nil {
 		return false
 	}
 	deposed := false
-	l.act(func(_ time.Time, core *region.Core) { deposed = !core.Saved(batch, err) })
+	l.act(func(_ time.Time, core *region.Core) { deposed = !core.Saved(batch, version, err) })
 	if deposed {
 		klog.InfoS("another leader has begun", "epoch", l.epoch)
 		l.gate.depose()
@@ -242,6 +245,23 @@
 	return true
 }
 
+// resync reads the versions of records that are not known. It returns false if
+// they could not be read.
+func (l *leader) resync() bool {
+	l.mu.Lock()
+	keys := l.core.Unsure()
+	l.mu.Unlock()
+	if len(keys) == 0 {
+		return true
+	}
+	rows, err := l.gate.table.Read(l.ctx, keys)
+	if err != nil {
+		return false
+	}
+	l.act(func(_ time.Time, core *region.Core) { core.Resync(keys, rows) })
+	return true
+}
+
 // configure hands a newer configuration to the core.
 func (l *leader) configure(settings *configuration.Configuration) {
 	l.act(func(_ time.Time, core *region.Core) { core.Configure(settings) })
