Take agents that are lost off the table, so that takeovers do not wait for them

Cause: after a power cut of all VMs the next leader waited out the hold, 7.6 s, for agents whose VMs had left for good long before: their rows stayed. Ruled out: slow loading (0.1 s) and a slow lease (2.1 s after the cut). An agent's row now goes, under its version, when its hold has passed. Conclusion: recovery is shorter where VMs left; TestTakeoverAfterLeave holds it.

--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -43,8 +44,10 @@
 
 	job struct {
 		Submission
-		row   table.Version
-		state State
+
+		// stored is the version at which the job was accepted.
+		stored table.Version
+		state  State
 
 		// known is when this leader learned of the job.
 		known       time.Time
@@ -58,9 +61,8 @@
 		changed, saved uint64
 		shown          State
 
-		// version is that of the record's row; unsure says that it is not known.
-		version table.Version
-		unsure  bool
+		// row is the row of the record.
+		row ownRow
 	}
 
 	// occurrence is one run of the steps of a job.
@@ -119,16 +121,28 @@
 
 // Admit takes a job that is stored. A job that is known already is left as it
 // is.
-func (c *Core) Admit(now time.Time, s Submission, row table.Version) {
+func (c *Core) Admit(now time.Time, s Submission, stored table.Version) {
 	if _, ok := c.jobs[s.Job.ID]; ok {
 		return
 	}
-	j := &job{Submission: s, row: row, state: Queued, shown: Queued, known: now}
+	j := &job{Submission: s, stored: stored, state: Queued, shown: Queued, known: now}
+	j.row.key = RecordPrefix + table.Key(s.Job.ID)
 	c.jobs[s.Job.ID] = j
 	c.live = append(c.live, j)
 	c.advance(now, j)
 	c.plan = true
-	c.log(Line{Event: "job admitted", Job: s.Job.ID, Outcome: string(s.Job.Queue), Count: len(s.Job.Steps)})
+	c.log(Line{Event: "job admitted", Job: s.Job.ID, Outcome: string(s.Job.Queue), Detail: describe(s.Job), Count: len(s.Job.Steps)})
+}
+
+// describe returns the shape of a job's first step, for the log.
+func describe(j work.Job) string {
+	if len(j.Steps) == 0 {
+		return "no steps"
+	}
+	s := j.Steps[0]
+	return fmt.Sprintf("%dx%d/%d/%d gang=%t rack=%t data=%s requires=%s spread=%d fills=%t saves=%t long=%t est=%s",
+		s.Count, s.Need.Processor, s.Need.Memory, s.Need.Accelerators, s.Gang, s.SameRack, s.Data, s.Requires,
+		s.Spread, s.Filler, s.Checkpoints, s.LongRunning, s.Estimate)
 }
 
 // Cancel ends a job on its caller's behalf.
--- a/internal/region/log.go
+++ b/internal/region/log.go
@@ -18,6 +18,7 @@
 	Worker  control.AgentID
 	Runner  control.RunnerID
 	Outcome string
+	Detail  string
 	Age     time.Duration
 	Count   int
 }
@@ -37,6 +38,7 @@
 	add(l.Worker != "", "worker", l.Worker)
 	add(l.Runner.Name != "", "runner", l.Runner.Name)
 	add(l.Outcome != "", "outcome", l.Outcome)
+	add(l.Detail != "", "detail", l.Detail)
 	add(l.Age != 0, "age", l.Age.Round(time.Millisecond))
 	add(l.Count != 0, "count", l.Count)
 	return pairs
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -72,12 +73,24 @@
 		states []State
 		agents []*worker
 	}
+
+	// ownRow is what the leader knows of a row that it writes.
+	ownRow struct {
+		key     table.Key
+		version table.Version
+
+		// unsure says that an earlier write landed after all, so that the
+		// version is not known.
+		unsure bool
+	}
 )
 
 // Begin takes in the rows that a former leader and the gates left.
 func (c *Core) Begin(now time.Time, jobs, cancels, records, agents []table.Row) {
 	for _, row := range agents {
-		c.absent[control.AgentID(row.Key[len(AgentPrefix):])] = true
+		w := c.newWorker(now, control.AgentID(row.Key[len(AgentPrefix):]))
+		w.row.version = row.Version
+		w.unheard = true
 	}
 	byJob := make(map[work.JobID]Record, len(records))
 	versions := make(map[work.JobID]table.Version, len(records))
@@ -96,7 +109,7 @@
 	}
 	for id, r := range byJob {
 		if j := c.jobs[id]; j != nil {
-			j.version = versions[id]
+			j.row.version = versions[id]
 			c.restore(now, j, r)
 		}
 	}
@@ -225,13 +238,16 @@
 	}
 	b := &Batch{Txn: table.Txn{Checks: []table.Check{c.guard}}}
 	for _, w := range c.sorted() {
-		if !w.recorded && len(b.Txn.Writes) < maxBatch {
-			b.agents = append(b.agents, w)
-			b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: AgentPrefix + table.Key(w.id), Value: []byte{}})
+		if w.recorded() != w.lost && !w.changing || w.row.unsure || len(b.Txn.Writes) >= maxBatch {
+			continue
 		}
+		b.agents = append(b.agents, w)
+		b.Txn.Checks = append(b.Txn.Checks, w.row.check())
+		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: w.row.key, Value: []byte{}, Delete: w.lost})
+		w.changing = true
 	}
 	for _, j := range c.live {
-		if j.saved >= j.changed || j.unsure || len(b.Txn.Writes) >= maxBatch {
+		if j.saved >= j.changed || j.row.unsure || len(b.Txn.Writes) >= maxBatch {
 			continue
 		}
 		value, err := cbor.Marshal(j.record())
@@ -242,8 +258,8 @@
 		b.jobs = append(b.jobs, j)
 		b.marks = append(b.marks, j.changed)
 		b.states = append(b.states, j.state)
-		b.Txn.Checks = append(b.Txn.Checks, table.Check{Key: j.key(), Version: j.version})
-		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: j.key(), Value: value})
+		b.Txn.Checks = append(b.Txn.Checks, j.row.check())
+		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: j.row.key, Value: value})
 	}
 	if len(b.Txn.Writes) == 0 {
 		return nil
@@ -261,53 +277,81 @@
 		return false
 	}
 	if err != nil {
-		for _, j := range b.jobs {
-			j.unsure = conflict != nil
+		for _, row := range b.rows() {
+			row.unsure = conflict != nil
 		}
 		c.log(Line{Event: "records not written", Outcome: err.Error(), Count: len(b.Txn.Writes)})
 		return true
 	}
+	for i, write := range b.Txn.Writes {
+		row := b.rows()[i]
+		row.version = version
+		if write.Delete {
+			row.version = table.Absent
+		}
+	}
 	for _, w := range b.agents {
-		w.recorded = true
+		w.changing = false
 		c.plan = true
 	}
 	for i, j := range b.jobs {
 		j.saved = b.marks[i]
 		j.shown = b.states[i]
-		j.version = version
 	}
 	c.note()
 	c.prune()
 	return true
 }
 
-// Unsure returns the keys of the records whose versions are not known since an
+// rows returns what is known of the rows that the batch writes, in their order.
+func (b *Batch) rows() []*ownRow {
+	rows := make([]*ownRow, 0, len(b.Txn.Writes))
+	for _, w := range b.agents {
+		rows = append(rows, &w.row)
+	}
+	for _, j := range b.jobs {
+		rows = append(rows, &j.row)
+	}
+	return rows
+}
+
+func (r *ownRow) check() table.Check {
+	return table.Check{Key: r.key, Version: r.version}
+}
+
+// Unsure returns the keys of the rows whose versions are not known since an
 // earlier write landed after all. The caller reads them and calls Resync.
 func (c *Core) Unsure() []table.Key {
 	var keys []table.Key
-	for _, j := range c.live {
-		if j.unsure {
-			keys = append(keys, j.key())
+	for _, row := range c.ownRows() {
+		if row.unsure {
+			keys = append(keys, row.key)
 		}
 	}
 	return keys
 }
 
-// Resync takes the versions of the records with the given keys.
+// Resync takes the versions of the rows with the given keys.
 func (c *Core) Resync(keys []table.Key, rows []table.Row) {
 	versions := make(map[table.Key]table.Version, len(rows))
 	for _, row := range rows {
 		versions[row.Key] = row.Version
 	}
-	for _, key := range keys {
-		id, _ := cut(key, RecordPrefix)
-		if j := c.jobs[work.JobID(id)]; j != nil {
-			j.version, j.unsure = versions[key], false
+	for _, row := range c.ownRows() {
+		if slices.Contains(keys, row.key) {
+			row.version, row.unsure = versions[row.key], false
 		}
 	}
 }
 
-// key returns the key of the job's record.
-func (j *job) key() table.Key {
-	return RecordPrefix + table.Key(j.Job.ID)
+// ownRows returns what is known of the rows that may have to be written.
+func (c *Core) ownRows() []*ownRow {
+	var rows []*ownRow
+	for _, w := range c.sorted() {
+		rows = append(rows, &w.row)
+	}
+	for _, j := range c.live {
+		rows = append(rows, &j.row)
+	}
+	return rows
 }
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -55,9 +55,7 @@
 		live    []*job
 		workers map[control.AgentID]*worker
 
-		// absent are agents that a former leader knew and that have not
-		// reported yet: they may run anything until the hold has passed.
-		absent  map[control.AgentID]bool
+		// settled says that nothing runs that this leader does not know of.
 		settled bool
 
 		// early is the table's version when the leader began. Jobs of a later
@@ -93,7 +91,6 @@
 		config: config, epoch: epoch, guard: guard, began: now, early: early, settings: settings,
 		jobs:    make(map[work.JobID]*job),
 		workers: make(map[control.AgentID]*worker),
-		absent:  make(map[control.AgentID]bool),
 		paces:   make(map[work.QueueID]*pace),
 		log:     func(Line) {},
 	}
@@ -132,13 +129,18 @@
 	if c.settled {
 		return
 	}
-	if len(c.absent) > 0 && now.Before(c.began.Add(c.patience())) {
+	unheard := 0
+	for _, w := range c.workers {
+		if w.unheard {
+			unheard++
+		}
+	}
+	if unheard > 0 && now.Before(c.began.Add(c.patience())) {
 		return
 	}
 	c.settled = true
 	c.plan = true
-	c.log(Line{Event: "settled", Epoch: c.epoch, Age: now.Sub(c.began), Count: len(c.absent)})
-	c.absent = make(map[control.AgentID]bool)
+	c.log(Line{Event: "settled", Epoch: c.epoch, Age: now.Sub(c.began), Count: unheard})
 	c.mend(now)
 }
 
--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -189,7 +189,7 @@
 
 // waiting returns the tasks of a step that may start now.
 func (c *Core) waiting(now time.Time, j *job, s *step) []int {
-	if !c.settled && j.row <= c.early {
+	if !c.settled && j.stored <= c.early {
 		return nil
 	}
 	var tasks []int
--- /dev/null
+++ b/internal/region/takeover_test.go
@@ -0,0 +1,101 @@
+package region_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/work"
+)
+
+// pass lets time pass while the given agents report.
+func (b *bed) pass(d time.Duration, agents ...control.AgentID) {
+	b.t.Helper()
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(500 * time.Millisecond)
+		b.core.Tick(b.now)
+		for _, agent := range agents {
+			b.report(agent, b.holding(agent))
+		}
+		b.save()
+	}
+}
+
+// holding lists what an agent was told to run.
+func (b *bed) holding(control.AgentID) func(*control.Report) {
+	return func(r *control.Report) {
+		for id, run := range b.run {
+			r.Tasks = append(r.Tasks, control.Task{ID: id, Run: run, Phase: control.Running})
+		}
+	}
+}
+
+// TestTakeoverAfterLeave has an agent leave for good. A later leader must not
+// wait for it before it starts what was accepted earlier.
+func TestTakeoverAfterLeave(t *testing.T) {
+	b := newBed(t)
+	b.join("a")
+	b.join("gone")
+	b.pass(10*time.Second, "a")
+	b.submit(gpuJob("j1", 1, 16))
+	b.submit(gpuJob("j2", 1, 8))
+	b.lead(2)
+	b.report("a", nil)
+	b.save()
+	if word := b.report("a", nil); len(word.Starts) != 1 || word.Starts[0].Task.Job != "j2" {
+		t.Errorf("starts %v, want j2 at once", word.Starts)
+	}
+}
+
+// TestTakeoverUnheard has an agent that may run tasks of the former leader.
+// Tasks that were accepted before must not start elsewhere until its hold has
+// passed.
+func TestTakeoverUnheard(t *testing.T) {
+	b := newBed(t)
+	b.join("a")
+	b.join("silent")
+	b.submit(gpuJob("j1", 1, 8))
+	b.lead(2)
+	b.report("a", nil)
+	b.save()
+	if word := b.report("a", nil); len(word.Starts) != 0 {
+		t.Errorf("started %v while it may run elsewhere", word.Starts)
+	}
+	b.submit(gpuJob("j2", 1, 4))
+	if word := b.report("a", nil); len(word.Starts) != 1 || word.Starts[0].Task.Job != "j2" {
+		t.Errorf("starts %v, want the job accepted since", word.Starts)
+	}
+	b.pass(5*time.Second, "a")
+	if b.run[taskOf("j1", 0)] != 0 {
+		t.Error("started before the hold had passed")
+	}
+	b.core.Cancel(b.now, "j2")
+	delete(b.run, taskOf("j2", 0))
+	b.pass(4*time.Second, "a")
+	if b.run[taskOf("j1", 0)] == 0 {
+		t.Error("not started after the hold had passed")
+	}
+}
+
+// TestAdopt has a new leader find a task of the former one where it runs.
+func TestAdopt(t *testing.T) {
+	b := newBed(t)
+	b.join("a")
+	b.join("b")
+	b.submit(gpuJob("j1", 1, 8))
+	b.report("a", nil)
+	run := b.run[taskOf("j1", 0)]
+	b.lead(2)
+	b.report("a", func(r *control.Report) {
+		r.Tasks = []control.Task{{ID: taskOf("j1", 0), Run: run, Phase: control.Running}}
+	})
+	b.save()
+	word := b.report("b", nil)
+	if len(word.Starts) != 0 {
+		t.Errorf("task started a second time: %v", word.Starts)
+	}
+	var id work.JobID = "j1"
+	if state, ok := b.core.State(id); !ok || state != "running" {
+		t.Errorf("state %q", state)
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -8,12 +8,12 @@
 	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/plan"
 	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
 type (
 	// worker is an agent with its runner, as the leader knows them.
 	worker struct {
-		core *Core
 		id   control.AgentID
 		life control.Life
 		seq  uint64
@@ -25,9 +25,17 @@
 		listed bool
 		dark   bool
 
-		// recorded says that the table knows of the agent, so that a later
-		// leader waits for it.
-		recorded, recording bool
+		// row tells a later leader that the agent may run tasks. Nothing starts
+		// on the worker before the row is there; it goes when the worker is lost.
+		row ownRow
+
+		// changing says that a write of the row may be under way.
+		changing bool
+
+		// unheard says that a former leader knew the agent and that it has not
+		// reported to this one yet: it may run anything until the hold has
+		// passed.
+		unheard bool
 
 		// expiry is when all that runs has lapsed unless the leader speaks to
 		// the agent before.
@@ -82,13 +90,24 @@
 	}
 }
 
+func (c *Core) newWorker(now time.Time, id control.AgentID) *worker {
+	w := &worker{id: id, held: make(map[work.TaskID]*hold), expiry: now.Add(c.patience())}
+	w.row.key = AgentPrefix + table.Key(id)
+	c.workers[id] = w
+	return w
+}
+
+// recorded reports whether the table knows of the agent.
+func (w *worker) recorded() bool {
+	return w.row.version != table.Absent
+}
+
 // Report takes in what an agent knows. It returns false if the report is older
 // than one taken in before.
 func (c *Core) Report(now time.Time, r control.Report) bool {
 	w, ok := c.workers[r.Agent]
 	if !ok {
-		w = &worker{core: c, id: r.Agent, held: make(map[work.TaskID]*hold), expiry: now.Add(c.patience())}
-		c.workers[r.Agent] = w
+		w = c.newWorker(now, r.Agent)
 	}
 	if r.Life == w.life && r.Seq <= w.seq {
 		return false
@@ -161,7 +180,7 @@
 // lose gives up all that ran on a worker.
 func (c *Core) lose(now time.Time, w *worker, why string) {
 	w.lost = true
-	w.listed = false
+	w.listed, w.unheard = false, false
 	c.log(Line{Event: "worker lost", Worker: w.id, Outcome: why, Count: len(w.held)})
 	c.release(now, w)
 }
@@ -209,9 +228,7 @@
 			c.vacate(now, w, id, h.run, "gone")
 		}
 	}
-	if c.absent[w.id] {
-		delete(c.absent, w.id)
-	}
+	w.unheard = false
 }
 
 // listTask takes note of one task at a runner: it is one that was ordered, one
@@ -391,7 +408,7 @@
 
 // open reports whether tasks may start on the worker.
 func (w *worker) open(now time.Time) bool {
-	return !w.lost && w.listed && !w.dark && w.recorded && !w.runner.Draining && !now.Before(w.rest)
+	return !w.lost && w.listed && !w.dark && w.recorded() && !w.changing && !w.row.unsure && !w.runner.Draining && !now.Before(w.rest)
 }
 
 // view returns the worker as the planner sees it.
