--- /dev/null
+++ b/internal/serve/door_test.go
@@ -0,0 +1,57 @@
+package serve_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/serve"
+)
+
+// TestDoor closes a gate's server while a client has an open connection and
+// another one comes. Both get their answers, and are asked for another
+// connection.
+func TestDoor(t *testing.T) {
+	door := serve.NewDoor(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "whole")
+	}))
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: door}
+	go server.Serve(listener)
+	get := func(client *http.Client) (string, bool) {
+		t.Helper()
+		response, err := client.Get("http://" + listener.Addr().String())
+		if err != nil {
+			t.Errorf("request cut: %v", err)
+			return "", false
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Errorf("answer cut: %v", err)
+		}
+		return string(body), response.Close
+	}
+	open := &http.Client{Transport: &http.Transport{}}
+	if body, closes := get(open); body != "whole" || closes {
+		t.Errorf("got %q, close %t", body, closes)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- door.Close(context.Background(), server, time.Second) }()
+	for !door.Closing() {
+	}
+	for _, client := range []*http.Client{open, {Transport: &http.Transport{}}} {
+		if body, closes := get(client); body != "whole" || !closes {
+			t.Errorf("got %q, close %t", body, closes)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("server did not end in time: %v", err)
+	}
+}
