--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"time"
 
@@ -38,6 +37,9 @@
 	// DeniedError says that a request is turned away before it is looked at.
 	DeniedError struct {
 		Reason Denial
+
+		// Cause is why the configuration could not be read, if it is that.
+		Cause error
 	}
 
 	// Refresher reads the configuration anew.
@@ -65,11 +67,17 @@
 		return "no such queue"
 	case NoKey:
 		return "unknown key"
-	default:
-		return "no configuration yet"
+	case NoConfiguration:
+		if e.Cause != nil {
+			return "configuration out of date: " + e.Cause.Error()
+		}
 	}
+	return "no configuration yet"
 }
 
+// Unwrap returns the cause.
+func (e *DeniedError) Unwrap() error { return e.Cause }
+
 // Open finds the queue and the account of a request by the configuration in
 // force. It returns a DeniedError if there is none.
 func (e *Entry) Open(ctx context.Context, r Refresher, host, path string, key configuration.Key) (Access, error) {
@@ -78,20 +86,20 @@
 		err := r.Refresh(limit)
 		cancel()
 		if err != nil {
-			return Access{}, errors.Join(&DeniedError{NoConfiguration}, err)
+			return Access{}, &DeniedError{Reason: NoConfiguration, Cause: err}
 		}
 	}
 	c, row := e.holder.Current()
 	if c == nil {
-		return Access{}, &DeniedError{NoConfiguration}
+		return Access{}, &DeniedError{Reason: NoConfiguration}
 	}
 	queue := c.Route(host, path)
 	if queue == nil {
-		return Access{}, &DeniedError{NoQueue}
+		return Access{}, &DeniedError{Reason: NoQueue}
 	}
 	account, ok := c.Owner(key)
 	if !ok && !queue.Public {
-		return Access{}, &DeniedError{NoKey}
+		return Access{}, &DeniedError{Reason: NoKey}
 	}
 	return Access{Queue: queue, Account: account, Limits: c.Limits, Row: row, Rest: strings.TrimPrefix(path, queue.Prefix)}, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -16,10 +17,18 @@
 const (
 	// directTimeout bounds a call of the service: a service that is slow by a
 	// factor of fifty still answers in it.
-	directTimeout = 800 * time.Millisecond
+	directTimeout = 700 * time.Millisecond
 
-	// detour is how long calls go through other gates after the own way failed.
-	detour = time.Second
+	// peerTimeout bounds a call by way of another gate, which bounds its own
+	// call of the service by directTimeout.
+	peerTimeout = 900 * time.Millisecond
+
+	// probePause is the time between two looks whether a closed way is open
+	// again.
+	probePause = 400 * time.Millisecond
+
+	// maxPeers bounds how many other gates are tried for one call.
+	maxPeers = 4
 )
 
 type (
@@ -40,13 +49,13 @@
 		direct Service
 		caller Caller
 		peers  func() []machine.Node
-		now    func() time.Time
 		log    func(open bool, reason string)
 
-		mu     sync.Mutex
-		closed time.Time
-		shut   bool
-		turn   int
+		mu   sync.Mutex
+		shut bool
+
+		// turn is the peer that is tried first: the one that answered last.
+		turn int
 	}
 )
 
@@ -54,8 +63,8 @@
 
 // New returns a Table that asks the peers while the direct way is closed. Each
 // change of the way is told to log.
-func New(direct Service, caller Caller, peers func() []machine.Node, now func() time.Time, log func(open bool, reason string)) *Table {
-	return &Table{direct: direct, caller: caller, peers: peers, now: now, log: log}
+func New(direct Service, caller Caller, peers func() []machine.Node, log func(open bool, reason string)) *Table {
+	return &Table{direct: direct, caller: caller, peers: peers, log: log}
 }
 
 // Serve carries out a call for another process, by the direct way only.
@@ -98,53 +107,78 @@
 	return reply.Version, failure(reply)
 }
 
-// call tries the direct way, and then one peer. A commit that may have been
-// carried out is not tried again: only its caller can tell whether it was.
+// Probe looks whether a closed way is open again, until the context ends, so
+// that no other call has to wait for that.
+func (t *Table) Probe(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !t.open() {
+			t.observe(ctx, carry(ctx, t.direct, control.StoreCall{Newest: true}))
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(probePause):
+		}
+	}
+}
+
+// call takes the direct way while it is open, and else that of a peer. A commit
+// that may have been carried out is not tried again: only its caller can tell
+// whether it was.
 func (t *Table) call(ctx context.Context, call control.StoreCall) control.StoreReply {
+	peers := t.peers()
 	var reply control.StoreReply
-	direct := t.open()
-	if direct {
+	if t.open() || len(peers) == 0 {
 		reply = carry(ctx, t.direct, call)
 		t.observe(ctx, reply)
-		if reply.Rejected == nil && (reply.Uncertain == nil || call.Commit != nil) {
+		if final(call, reply) {
 			return reply
 		}
 	}
-	peer, ok := t.next()
-	if !ok {
-		if direct {
+	t.mu.Lock()
+	first := t.turn
+	t.mu.Unlock()
+	for i := range min(len(peers), maxPeers) {
+		turn := (first + i) % len(peers)
+		reply = t.ask(ctx, peers[turn], call)
+		if final(call, reply) || ctx.Err() != nil {
+			t.mu.Lock()
+			t.turn = turn
+			t.mu.Unlock()
 			return reply
 		}
-		reply = carry(ctx, t.direct, call)
-		t.observe(ctx, reply)
-		return reply
-	}
-	limit, cancel := context.WithTimeout(ctx, call.Wait+2*directTimeout)
-	defer cancel()
-	reply, err := t.caller.Store(limit, peer, call)
-	if err != nil {
-		return control.StoreReply{Uncertain: &table.UncertainError{Reason: "no answer from gate " + string(peer)}}
 	}
+	t.mu.Lock()
+	t.turn = first + maxPeers
+	t.mu.Unlock()
 	return reply
 }
 
-// open reports whether the direct way is to be tried.
-func (t *Table) open() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.closed.IsZero() || t.now().Sub(t.closed) > detour
+// final reports whether a reply stands: the call was carried out, or it may
+// have been and must not be repeated.
+func final(call control.StoreCall, reply control.StoreReply) bool {
+	return reply.Rejected == nil && (reply.Uncertain == nil || call.Commit != nil)
 }
 
-// next returns the peers in turn.
-func (t *Table) next() (machine.Node, bool) {
-	peers := t.peers()
-	if len(peers) == 0 {
-		return "", false
+// ask has a peer carry out a call.
+func (t *Table) ask(ctx context.Context, peer machine.Node, call control.StoreCall) control.StoreReply {
+	limit, cancel := context.WithTimeout(ctx, call.Wait+peerTimeout)
+	defer cancel()
+	reply, err := t.caller.Store(limit, peer, call)
+	var dial *net.OpError
+	switch {
+	case err == nil:
+		return reply
+	case errors.As(err, &dial) && dial.Op == "dial":
+		return control.StoreReply{Rejected: &table.RejectedError{Reason: "no connection to gate " + string(peer)}}
 	}
+	return control.StoreReply{Uncertain: &table.UncertainError{Reason: "no answer from gate " + string(peer)}}
+}
+
+// open reports whether the direct way is open.
+func (t *Table) open() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.turn++
-	return peers[t.turn%len(peers)], true
+	return !t.shut
 }
 
 // observe takes note of whether the direct way is open.
@@ -160,10 +194,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.closed = time.Time{}
-	if reason != "" {
-		t.closed = t.now()
-	}
 	if shut := reason != ""; shut != t.shut {
 		t.shut = shut
 		t.log(!shut, reason)
--- a/internal/serve/agent.go
+++ b/internal/serve/agent.go
@@ -77,6 +77,11 @@
 	}
 }
 
+// Seed adds gates that the settings name.
+func (a *Agent) Seed(ctx context.Context, gates []machine.Node) {
+	a.Post(ctx, gates)
+}
+
 // Run serves until the context ends.
 func (a *Agent) Run(ctx context.Context) {
 	a.ctx = ctx
--- a/internal/serve/door_test.go
+++ b/internal/serve/door_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- door.Close(context.Background(), server, time.Second) }()
 	for !door.Closing() {
+		runtime.Gosched()
 	}
 	for _, client := range []*http.Client{open, {Transport: &http.Transport{}}} {
 		if body, closes := get(client); body != "whole" || !closes {
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,7 +104,7 @@
 		config: config, client: control.NewClient(), holder: configuration.NewHolder(),
 		leaving: make(chan struct{}), peers: config.Seeds,
 	}
-	g.table = relay.New(config.Service, g.client, g.others, boottime.Now, logWay)
+	g.table = relay.New(config.Service, g.client, g.others, logWay)
 	g.entry = entry.New(g.table, g, g.holder, config.Key)
 	g.store = machine.NewStore()
 	g.elector = lease.NewElector(leaseKey, config.Node, g.store,
@@ -126,6 +127,7 @@
 	g.ctx, g.cancel = context.WithCancel(ctx)
 	go g.watch()
 	go g.meet()
+	go g.table.Probe(g.ctx)
 	g.campaign()
 }
 
@@ -134,6 +136,17 @@
 	g.once.Do(func() { close(g.leaving) })
 }
 
+// Seed adds gates that the settings name.
+func (g *Gate) Seed(nodes []machine.Node) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, n := range nodes {
+		if !slices.Contains(g.peers, n) {
+			g.peers = append(g.peers, n)
+		}
+	}
+}
+
 // others returns the other gates.
 func (g *Gate) others() []machine.Node {
 	g.mu.Lock()
