--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -129,9 +129,14 @@
 	j.row.key = RecordPrefix + table.Key(s.Job.ID)
 	c.jobs[s.Job.ID] = j
 	c.live = append(c.live, j)
-	c.advance(now, j)
 	c.plan = true
 	c.log(Line{Event: "job admitted", Job: s.Job.ID, Outcome: string(s.Job.Queue), Detail: describe(s.Job), Count: len(s.Job.Steps)})
+	if c.cancelled[s.Job.ID] {
+		delete(c.cancelled, s.Job.ID)
+		c.finish(now, j, Cancelled)
+		return
+	}
+	c.advance(now, j)
 }
 
 // describe returns the shape of a job's first step, for the log.
@@ -145,13 +150,16 @@
 		s.Spread, s.Filler, s.Checkpoints, s.LongRunning, s.Estimate)
 }
 
-// Cancel ends a job on its caller's behalf.
+// Cancel ends a job on its caller's behalf. A job that is not known yet ends when
+// it comes, since jobs and cancellations are read side by side.
 func (c *Core) Cancel(now time.Time, id work.JobID) {
 	j, ok := c.jobs[id]
-	if !ok || j.over() {
-		return
+	switch {
+	case !ok:
+		c.cancelled[id] = true
+	case !j.over():
+		c.finish(now, j, Cancelled)
 	}
-	c.finish(now, j, Cancelled)
 }
 
 // State returns the durable state of a job, and false if it is not known.
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -55,6 +55,9 @@
 		live    []*job
 		workers map[control.AgentID]*worker
 
+		// cancelled are jobs that are not known yet.
+		cancelled map[work.JobID]bool
+
 		// settled says that nothing runs that this leader does not know of.
 		settled bool
 
@@ -90,7 +93,7 @@
 	return &Core{
 		config: config, epoch: epoch, guard: guard, began: now, early: early, settings: settings,
 		jobs:    make(map[work.JobID]*job),
-		workers: make(map[control.AgentID]*worker),
+		workers: make(map[control.AgentID]*worker), cancelled: make(map[work.JobID]bool),
 		paces:   make(map[work.QueueID]*pace),
 		log:     func(Line) {},
 	}
--- a/internal/region/region_test.go
+++ b/internal/region/region_test.go
@@ -213,3 +213,18 @@
 		t.Errorf("noted %d, want 1", word.Noted)
 	}
 }
+
+// TestCancelFirst has the cancellation of a job arrive before the job.
+func TestCancelFirst(t *testing.T) {
+	b := newBed(t)
+	b.join("a")
+	b.core.Row(b.now, table.Row{Key: region.CancelPrefix + "j1", Version: 9, Value: []byte{}})
+	b.submit(gpuJob("j1", 1, 4))
+	if word := b.report("a", nil); len(word.Starts) != 0 {
+		t.Errorf("cancelled job started: %v", word.Starts)
+	}
+	b.save()
+	if state, _ := b.core.State("j1"); state != region.Cancelled {
+		t.Errorf("state %q", state)
+	}
+}
