--- a/internal/plan/claim.go
+++ b/internal/plan/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/lovageroad/lovageroad/internal/work"
@@ -14,27 +15,59 @@
 	loss    float64
 }
 
-// claim keeps room for each waiting task of a guaranteed demand: room that
-// becomes free anyway, or else that of the tasks whose stop loses the least.
-// The tasks start at a later plan, when the room is free.
+// claim keeps room for each waiting task of a demand: room that becomes free
+// anyway, or else that of the tasks whose stop loses the least. The tasks start
+// at a later plan, when the room is free. A gang gets room for all its tasks or
+// for none.
 func (p *planner) claim(d *Demand) {
-	group := p.eligible(d)
-	for _, rack := range p.claimGroups(d, group) {
-		if rack.enough(d) {
-			group = rack
+	candidates := p.eligible(d)
+	for _, near := range p.claimGroups(d, candidates) {
+		if near.enough(d) {
+			candidates = near
 			break
 		}
 	}
+	before := p.snapshot(d)
 	for len(d.Waiting) > 0 {
-		e, ok := cheapest(d, group)
+		e, ok := cheapest(d, candidates)
 		if !ok {
-			return
+			break
 		}
 		for _, victim := range e.victims {
 			p.stop(victim)
 		}
+		d.Budget -= e.loss
 		p.promise(d, e.room)
 	}
+	if d.Spec.Gang && len(d.Waiting) > 0 {
+		p.restore(d, before)
+	}
+}
+
+// state is what a claim changes.
+type state struct {
+	coming   []work.Resources
+	stopping []map[work.TaskID]bool
+	stops    int
+	waiting  []int
+	placed   map[WorkerID]int
+}
+
+func (p *planner) snapshot(d *Demand) state {
+	s := state{stops: len(p.decision.Stops), waiting: d.Waiting, placed: maps.Clone(d.Placed)}
+	for _, r := range p.rooms {
+		s.coming = append(s.coming, r.coming)
+		s.stopping = append(s.stopping, maps.Clone(r.stopping))
+	}
+	return s
+}
+
+func (p *planner) restore(d *Demand, s state) {
+	for i, r := range p.rooms {
+		r.coming, r.stopping = s.coming[i], s.stopping[i]
+	}
+	p.decision.Stops = p.decision.Stops[:s.stops]
+	d.Waiting, d.Placed = s.waiting, s.placed
 }
 
 type group []*room
@@ -63,7 +96,7 @@
 	for _, r := range g {
 		space := r.coming
 		for _, o := range r.Occupants {
-			if r.evictable(o) {
+			if r.evictable(d, o) {
 				space = space.Add(o.Claim)
 			}
 		}
@@ -105,8 +138,9 @@
 	return best, best.room != nil
 }
 
-func (r *room) evictable(o Occupant) bool {
-	return !o.Kept && !r.stopping[o.Task]
+// evictable reports whether a demand may take the place of a task.
+func (r *room) evictable(d *Demand, o Occupant) bool {
+	return !o.Kept && !r.stopping[o.Task] && (d.Guaranteed || o.Priority > d.Priority)
 }
 
 // evict returns the tasks to stop on the worker so that one task of the demand
@@ -121,7 +155,7 @@
 	}
 	var candidates []Occupant
 	for _, o := range r.Occupants {
-		if r.evictable(o) {
+		if r.evictable(d, o) {
 			candidates = append(candidates, o)
 		}
 	}
@@ -140,7 +174,7 @@
 		return e, false
 	}
 	e.spare(space, d.Spec.Claim())
-	return e, true
+	return e, d.Guaranteed || e.loss <= d.Budget
 }
 
 // spare takes off the victims without whom the task fits too, the costliest
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -61,9 +61,15 @@
 		Waiting []int
 		Pool    work.PoolID
 
-		// Guaranteed says that the demand may take the place of others.
+		// Guaranteed says that the demand may take the place of all that is not
+		// kept.
 		Guaranteed bool
 
+		// Budget is the work in core-seconds that may be lost to make room for
+		// the demand in the place of tasks of lower priority.
+		Budget   float64
+		Priority work.Priority
+
 		// Far says that workers away from the step's data, or a gang over
 		// several racks, are taken if no near ones have room.
 		Far bool
@@ -171,7 +177,7 @@
 			return
 		}
 	}
-	if d.Guaranteed {
+	if d.Guaranteed || d.Budget > 0 {
 		p.claim(d)
 	}
 }
--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -101,6 +101,7 @@
 		checkpoint work.Checkpoint
 		percent    int
 		retry      time.Time
+		preempted  int
 		avoid      []control.AgentID
 	}
 )
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -69,7 +69,10 @@
 		saving  bool
 		plan    bool
 		paces   map[work.QueueID]*pace
-		log     func(line Line)
+
+		// rooms are the capacities of the pools.
+		rooms map[work.PoolID]work.Resources
+		log   func(line Line)
 	}
 )
 
@@ -94,8 +97,9 @@
 		config: config, epoch: epoch, guard: guard, began: now, early: early, settings: settings,
 		jobs:    make(map[work.JobID]*job),
 		workers: make(map[control.AgentID]*worker), cancelled: make(map[work.JobID]bool),
-		paces:   make(map[work.QueueID]*pace),
-		log:     func(Line) {},
+		paces: make(map[work.QueueID]*pace),
+		rooms: make(map[work.PoolID]work.Resources),
+		log:   func(Line) {},
 	}
 }
 
--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -20,33 +19,47 @@
 	// data before it goes far.
 	nearWait = 0.7
 
-	// paceWeight is the weight of the newest run time in a queue's correction.
-	paceWeight = 0.2
+	// lateFactor is how many objectives after it was sent a job still earns.
+	lateFactor = 3
 
-	// defaultEstimate stands in for a run time that the caller did not give.
-	defaultEstimate = 5 * time.Second
+	// lossShare is how much work may be lost for an urgent job, against its own
+	// work: what is lost costs as much as what is done late earns less.
+	lossShare = 0.3
+
+	// urgency is how long before the latest start in time a job takes the place
+	// of lower priorities: about as long as a stop takes.
+	urgency = 1500 * time.Millisecond
 )
 
-type (
-	// pace corrects the run times that the callers of a queue declare.
-	pace struct {
-		log   float64
-		known bool
-	}
+const (
+	// inTime is the chance of a job that can still meet its objective.
+	inTime chance = iota
+
+	// late is the chance of a job that can still be done before it earns nothing.
+	late
 
+	// hopeless is the chance of a job that is too late. It runs all the same,
+	// after all others.
+	hopeless
+)
+
+type (
 	// wanted is a demand with what orders it.
 	wanted struct {
 		demand   plan.Demand
 		step     *step
 		job      *job
-		priority work.Priority
 		deadline time.Time
-		hopeless bool
+		chance   chance
 	}
+
+	// chance tells what a job can still earn.
+	chance int
 )
 
 // schedule places waiting tasks and makes room for guaranteed ones.
 func (c *Core) schedule(now time.Time) {
+	c.measure()
 	claims := c.claims()
 	demands := c.demands(now, claims)
 	if len(demands) == 0 {
@@ -65,6 +78,7 @@
 	for _, id := range decision.Stops {
 		if _, _, t := c.find(id); t != nil && t.worker != nil {
 			t.stopping = true
+			t.preempted++
 			t.worker.notify()
 			c.log(Line{Event: "task preempted", Task: id, Run: t.run, Worker: t.worker.id})
 		}
@@ -148,7 +162,8 @@
 }
 
 // demands returns what waits, the first to serve first: guaranteed jobs, then
-// by priority, then jobs that can still be in time, the most urgent first.
+// jobs that can still be in time before late ones, by priority, and the most
+// urgent first.
 func (c *Core) demands(now time.Time, claims map[*job]bool) []wanted {
 	var demands []wanted
 	for _, j := range c.live {
@@ -169,8 +184,8 @@
 	slices.SortStableFunc(demands, func(a, b wanted) int {
 		return cmp.Or(
 			compareBool(b.demand.Guaranteed, a.demand.Guaranteed),
-			cmp.Compare(a.priority, b.priority),
-			compareBool(a.hopeless, b.hopeless),
+			cmp.Compare(a.chance, b.chance),
+			cmp.Compare(a.demand.Priority, b.demand.Priority),
 			a.deadline.Compare(b.deadline),
 		)
 	})
@@ -214,87 +229,63 @@
 		return wanted{}, false
 	}
 	queue := c.queue(j)
-	begin := j.known
-	if !o.due.IsZero() {
-		begin = o.due
-	}
 	chain := c.chain(j)
-	objective := time.Duration(queue.Stretch*float64(chain)) + queue.Slack
-	demand := plan.Demand{
+	deadline := c.deadline(j, o, chain)
+	w := wanted{step: s, job: j, deadline: deadline, chance: outlook(now, o.begin(j), deadline, chain)}
+	w.demand = plan.Demand{
 		Step: s.id, Spec: *s.spec, Waiting: waiting, Pool: queue.Pool,
-		Guaranteed: claimed,
-		Far:        now.Sub(s.ready) > time.Duration(nearWait*float64(c.expected(j, s))),
+		Guaranteed: claimed, Priority: queue.Priority,
+		Far: now.Sub(s.ready) > time.Duration(nearWait*float64(c.expected(j, s))),
+	}
+	if w.chance == inTime && now.Add(chain+urgency).After(deadline) {
+		w.demand.Budget = lossShare * c.expected(j, s).Seconds() * weight(s) * float64(len(waiting))
 	}
 	for _, i := range waiting {
 		for _, id := range s.tasks[i].avoid {
-			demand.Avoid = append(demand.Avoid, plan.WorkerID(id))
+			w.demand.Avoid = append(w.demand.Avoid, plan.WorkerID(id))
 		}
 	}
 	if s.spec.Spread > 0 {
-		demand.Placed = s.placed()
+		w.demand.Placed = s.placed()
 	}
-	return wanted{
-		demand: demand, step: s, job: j, priority: queue.Priority,
-		deadline: begin.Add(objective),
-		hopeless: now.Add(chain).After(begin.Add(3 * objective)),
-	}, true
+	return w, true
 }
 
-// placed counts the running tasks of a step by worker.
-func (s *step) placed() map[plan.WorkerID]int {
-	placed := make(map[plan.WorkerID]int)
-	for i := range s.tasks {
-		if w := s.tasks[i].worker; w != nil {
-			placed[plan.WorkerID(w.id)]++
-		}
+// begin returns the time from which a job's objective counts.
+func (o *occurrence) begin(j *job) time.Time {
+	if o.due.IsZero() {
+		return j.known
 	}
-	return placed
+	return o.due
 }
 
-// expected returns the run time of a task, corrected by what tasks of the queue
-// took.
-func (c *Core) expected(j *job, s *step) time.Duration {
-	declared := s.spec.Estimate
-	if declared == 0 {
-		declared = defaultEstimate
-	}
-	if p := c.paces[j.Job.Queue]; p != nil && p.known {
-		return time.Duration(float64(declared) * math.Exp(p.log))
-	}
-	return declared
+// deadline returns when a job is to be done.
+func (c *Core) deadline(j *job, o *occurrence, chain time.Duration) time.Time {
+	queue := c.queue(j)
+	return o.begin(j).Add(time.Duration(queue.Stretch*float64(chain)) + queue.Slack)
 }
 
-// chain returns the longest chain of a job's work.
-func (c *Core) chain(j *job) time.Duration {
-	ends := make([]time.Duration, len(j.Job.Steps))
-	longest := time.Duration(0)
-	for i := range j.Job.Steps {
-		s := &step{spec: &j.Job.Steps[i]}
-		for _, earlier := range s.spec.After {
-			ends[i] = max(ends[i], ends[earlier])
-		}
-		ends[i] += c.expected(j, s)
-		longest = max(longest, ends[i])
+// outlook returns what a job can still earn if it starts now.
+func outlook(now, begin, deadline time.Time, chain time.Duration) chance {
+	done := now.Add(chain)
+	switch {
+	case !done.After(deadline):
+		return inTime
+	case !done.After(begin.Add(lateFactor * deadline.Sub(begin))):
+		return late
 	}
-	return longest
+	return hopeless
 }
 
-// learn takes note of a run time.
-func (c *Core) learn(j *job, s *step, took time.Duration, t *task) {
-	if s.spec.Estimate <= 0 || took <= 0 || t.checkpoint != "" {
-		return
-	}
-	miss := math.Log(float64(took) / float64(s.spec.Estimate))
-	p := c.paces[j.Job.Queue]
-	if p == nil {
-		p = &pace{}
-		c.paces[j.Job.Queue] = p
-	}
-	if !p.known {
-		p.log, p.known = miss*paceWeight, true
-		return
+// placed counts the running tasks of a step by worker.
+func (s *step) placed() map[plan.WorkerID]int {
+	placed := make(map[plan.WorkerID]int)
+	for i := range s.tasks {
+		if w := s.tasks[i].worker; w != nil {
+			placed[plan.WorkerID(w.id)]++
+		}
 	}
-	p.log += paceWeight * (miss - p.log)
+	return placed
 }
 
 // occupied returns a worker with what runs on it, as the planner sees it.
@@ -316,15 +307,21 @@
 	return v
 }
 
-// loss returns the core-seconds of work that a stop throws away.
+// loss returns the core-seconds of work that a stop throws away. A task that made
+// room before counts more, so that it comes to its end.
 func (c *Core) loss(now time.Time, s *step, t *task) float64 {
 	kept := now.Sub(t.ordered)
 	if t.checkpoint != "" {
 		kept = min(kept, time.Second)
 	}
-	cores := float64(s.spec.Need.Processor)/1000 + acceleratorCores*float64(s.spec.Need.Accelerators)
+	lost := kept.Seconds() * weight(s) * float64(1+t.preempted)
 	if s.spec.Gang {
-		cores *= float64(len(s.tasks))
+		lost *= float64(len(s.tasks))
 	}
-	return kept.Seconds() * cores
+	return lost
+}
+
+// weight returns what a task of the step counts in cores.
+func weight(s *step) float64 {
+	return float64(s.spec.Need.Processor)/1000 + acceleratorCores*float64(s.spec.Need.Accelerators)
 }
