Leave idle workers to urgent jobs while half of the pool is in use

Cause: urgent jobs met a floor filled with long tasks that had time to spare: they waited 0.5 s and were late, or stopped others. Patient work (3 s and more to spare) leaves a fifth of the workers alone if they are wholly idle, unless half of the accelerators are free.

--- a/internal/plan/claim.go
+++ b/internal/plan/claim.go
@@ -44,18 +44,19 @@
 	}
 }
 
-// state is what a claim changes.
+// state is what serving a demand changes.
 type state struct {
-	coming   []work.Resources
-	stopping []map[work.TaskID]bool
-	stops    int
-	waiting  []int
-	placed   map[WorkerID]int
+	free, coming  []work.Resources
+	stopping      []map[work.TaskID]bool
+	starts, stops int
+	waiting       []int
+	placed        map[WorkerID]int
 }
 
 func (p *planner) snapshot(d *Demand) state {
-	s := state{stops: len(p.decision.Stops), waiting: d.Waiting, placed: maps.Clone(d.Placed)}
+	s := state{starts: len(p.decision.Starts), stops: len(p.decision.Stops), waiting: d.Waiting, placed: maps.Clone(d.Placed)}
 	for _, r := range p.rooms {
+		s.free = append(s.free, r.free)
 		s.coming = append(s.coming, r.coming)
 		s.stopping = append(s.stopping, maps.Clone(r.stopping))
 	}
@@ -64,8 +65,9 @@
 
 func (p *planner) restore(d *Demand, s state) {
 	for i, r := range p.rooms {
-		r.coming, r.stopping = s.coming[i], s.stopping[i]
+		r.free, r.coming, r.stopping = s.free[i], s.coming[i], s.stopping[i]
 	}
+	p.decision.Starts = p.decision.Starts[:s.starts]
 	p.decision.Stops = p.decision.Stops[:s.stops]
 	d.Waiting, d.Placed = s.waiting, s.placed
 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -70,6 +70,10 @@
 		Budget   float64
 		Priority work.Priority
 
+		// Leave is how many idle workers of the pool the demand leaves for more
+		// urgent work.
+		Leave int
+
 		// Far says that workers away from the step's data, or a gang over
 		// several racks, are taken if no near ones have room.
 		Far bool
@@ -245,14 +249,18 @@
 }
 
 // place starts the waiting tasks of a demand in a group of workers. It returns
-// whether none is left.
+// whether none is left. A gang starts whole or not at all.
 func (p *planner) place(d *Demand, group []*room) bool {
 	if d.Spec.Gang && !fits(d, group) {
 		return false
 	}
+	before := p.snapshot(d)
 	for len(d.Waiting) > 0 {
 		best := tightest(d, group)
-		if best == nil {
+		if best == nil || best.idle() && p.reserved(d) {
+			if d.Spec.Gang {
+				p.restore(d, before)
+			}
 			return false
 		}
 		p.start(d, best)
@@ -260,6 +268,32 @@
 	return true
 }
 
+// reserved reports whether the idle workers of a pool are left for more urgent
+// work than the demand: not while half of the pool's accelerators are free.
+func (p *planner) reserved(d *Demand) bool {
+	if d.Leave == 0 {
+		return false
+	}
+	idle := 0
+	var free, all int64
+	for _, r := range p.rooms {
+		if r.Closed || r.Pool != d.Pool {
+			continue
+		}
+		if r.idle() {
+			idle++
+		}
+		free += r.coming.Accelerators
+		all += r.Capacity.Accelerators
+	}
+	return idle <= d.Leave && 2*free < all
+}
+
+// idle reports whether nothing runs on the worker or is to run there.
+func (r *room) idle() bool {
+	return r.free == r.Capacity && r.coming == r.Capacity
+}
+
 func fits(d *Demand, group []*room) bool {
 	n := 0
 	for _, r := range group {
--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -26,6 +26,14 @@
 	// work: what is lost costs as much as what is done late earns less.
 	lossShare = 0.3
 
+	// leaveShare is the part of the idle workers, one in so many of all, that
+	// patient work leaves for urgent jobs.
+	leaveShare = 5
+
+	// patientSlack is how much time a job must have to spare to wait for room
+	// that urgent jobs may want.
+	patientSlack = 3 * time.Second
+
 	// urgency is how long before the latest start in time a job takes the place
 	// of lower priorities: about as long as a stop takes.
 	urgency = 1500 * time.Millisecond
@@ -240,6 +248,9 @@
 	if w.chance == inTime && now.Add(chain+urgency).After(deadline) {
 		w.demand.Budget = lossShare * c.expected(j, s).Seconds() * weight(s) * float64(len(waiting))
 	}
+	if !claimed && !now.Add(chain+patientSlack).After(deadline) {
+		w.demand.Leave = len(c.workers) / leaveShare
+	}
 	for _, i := range waiting {
 		for _, id := range s.tasks[i].avoid {
 			w.demand.Avoid = append(w.demand.Avoid, plan.WorkerID(id))
