Forget agents whose runner has left, and refuse at once what is not stored

Cause: after a kill of everything the next leader waited 7.6 s for an agent whose runner had left two seconds before. And a submission that the table refused was tried four times over 240 ms before the client heard of it. TestTakeoverWithoutRunner fails before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,6 +107,8 @@
 				return e.settle(ctx, key, j)
 			}
 			return Moved, err
+		case errors.As(err, &rejected) && !doubt:
+			return NotRun, err
 		case errors.As(err, &rejected):
 		default:
 			doubt = true
@@ -116,10 +118,7 @@
 			break
 		}
 	}
-	if doubt {
-		return Unknown, last
-	}
-	return NotRun, last
+	return Unknown, last
 }
 
 // verify looks at the job that is stored under the id already.
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -238,12 +238,12 @@
 	}
 	b := &Batch{Txn: table.Txn{Checks: []table.Check{c.guard}}}
 	for _, w := range c.sorted() {
-		if w.recorded() != w.lost && !w.changing || w.row.unsure || len(b.Txn.Writes) >= maxBatch {
+		if w.recorded() == w.runs() && !w.changing || w.row.unsure || len(b.Txn.Writes) >= maxBatch {
 			continue
 		}
 		b.agents = append(b.agents, w)
 		b.Txn.Checks = append(b.Txn.Checks, w.row.check())
-		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: w.row.key, Value: []byte{}, Delete: w.lost})
+		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: w.row.key, Value: []byte{}, Delete: !w.runs()})
 		w.changing = true
 	}
 	for _, j := range c.live {
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -99,3 +99,21 @@
 		t.Errorf("state %q", state)
 	}
 }
+
+// TestTakeoverWithoutRunner has a runner leave while its agent lives. A later
+// leader must not wait for what the agent might run.
+func TestTakeoverWithoutRunner(t *testing.T) {
+	b := newBed(t)
+	b.join("a")
+	b.join("left")
+	b.report("left", func(r *control.Report) { r.Lost = true })
+	b.save()
+	b.submit(gpuJob("j1", 1, 16))
+	b.submit(gpuJob("j2", 1, 8))
+	b.lead(2)
+	b.report("a", nil)
+	b.save()
+	if word := b.report("a", nil); len(word.Starts) != 1 {
+		t.Errorf("starts %v, want j2 at once", word.Starts)
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -26,7 +26,7 @@
 		dark   bool
 
 		// row tells a later leader that the agent may run tasks. Nothing starts
-		// on the worker before the row is there; it goes when the worker is lost.
+		// on the worker before the row is there; it goes when nothing runs any more.
 		row ownRow
 
 		// changing says that a write of the row may be under way.
@@ -102,6 +102,11 @@
 	return w.row.version != table.Absent
 }
 
+// runs reports whether something may run on the worker.
+func (w *worker) runs() bool {
+	return !w.lost && !w.dark
+}
+
 // Report takes in what an agent knows. It returns false if the report is older
 // than one taken in before.
 func (c *Core) Report(now time.Time, r control.Report) bool {
