Remember which ways to the table are closed

Cause: while the table was down a client with 530 ms to spare was held for them: the gate asked a gate that had left for good (a dial of 500 ms) for each request. Gates that can't be reached are not asked for 3 s, and calls are rejected at once for 200 ms after all ways were closed.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,14 @@
 
 	// maxPeers bounds how many other gates are tried for one call.
 	maxPeers = 4
+
+	// absentPause is how long a gate is not asked that could not be reached: it
+	// may have left for good.
+	absentPause = 3 * time.Second
+
+	// closedPause is how long calls are rejected at once after all ways were
+	// found closed, a few round trips between data centres.
+	closedPause = 200 * time.Millisecond
 )
 
 type (
@@ -56,6 +64,11 @@
 
 		// turn is the peer that is tried first: the one that answered last.
 		turn int
+
+		// absent tells when peers could not be reached, and closed when all ways
+		// were closed.
+		absent map[machine.Node]time.Time
+		closed time.Time
 	}
 )
 
@@ -64,7 +77,7 @@
 // New returns a Table that asks the peers while the direct way is closed. Each
 // change of the way is told to log.
 func New(direct Service, caller Caller, peers func() []machine.Node, log func(open bool, reason string)) *Table {
-	return &Table{direct: direct, caller: caller, peers: peers, log: log}
+	return &Table{direct: direct, caller: caller, peers: peers, log: log, absent: make(map[machine.Node]time.Time)}
 }
 
 // Serve carries out a call for another process, by the direct way only.
@@ -134,25 +147,53 @@
 			return reply
 		}
 	}
-	t.mu.Lock()
-	first := t.turn
-	t.mu.Unlock()
-	for i := range min(len(peers), maxPeers) {
+	first, closed := t.detour()
+	if closed {
+		return control.StoreReply{Rejected: &table.RejectedError{Reason: "all ways to the table are closed"}}
+	}
+	asked := 0
+	for i := 0; i < len(peers) && asked < maxPeers; i++ {
 		turn := (first + i) % len(peers)
+		if t.skips(peers[turn]) {
+			continue
+		}
+		asked++
 		reply = t.ask(ctx, peers[turn], call)
 		if final(call, reply) || ctx.Err() != nil {
-			t.mu.Lock()
-			t.turn = turn
-			t.mu.Unlock()
+			t.found(turn)
 			return reply
 		}
 	}
 	t.mu.Lock()
-	t.turn = first + maxPeers
+	t.turn, t.closed = first+maxPeers, time.Now()
 	t.mu.Unlock()
+	if asked == 0 && reply.Rejected == nil && reply.Uncertain == nil {
+		reply.Rejected = &table.RejectedError{Reason: "no gate can be reached"}
+	}
 	return reply
 }
 
+// detour returns the peer to try first, and whether all ways were closed just
+// now.
+func (t *Table) detour() (first int, closed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.turn, time.Since(t.closed) < closedPause
+}
+
+// skips reports whether a peer could not be reached just now.
+func (t *Table) skips(peer machine.Node) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.absent[peer]) < absentPause
+}
+
+func (t *Table) found(turn int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.turn, t.closed = turn, time.Time{}
+}
+
 // final reports whether a reply stands: the call was carried out, or it may
 // have been and must not be repeated.
 func final(call control.StoreCall, reply control.StoreReply) bool {
@@ -169,6 +210,9 @@
 	case err == nil:
 		return reply
 	case errors.As(err, &dial) && dial.Op == "dial":
+		t.mu.Lock()
+		t.absent[peer] = time.Now()
+		t.mu.Unlock()
 		return control.StoreReply{Rejected: &table.RejectedError{Reason: "no connection to gate " + string(peer)}}
 	}
 	return control.StoreReply{Uncertain: &table.UncertainError{Reason: "no answer from gate " + string(peer)}}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,7 +44,8 @@
 
 func (g gates) Store(ctx context.Context, to machine.Node, call control.StoreCall) (control.StoreReply, error) {
 	if g[to] == nil {
-		return control.StoreReply{}, errors.New("no answer")
+		time.Sleep(500 * time.Millisecond)
+		return control.StoreReply{}, &net.OpError{Op: "dial", Err: errors.New("timeout")}
 	}
 	return g[to].Serve(ctx, call), nil
 }
@@ -88,6 +90,29 @@
 	}
 }
 
+// TestAllClosed closes the service to all gates, one of which has left for good.
+// Only the first call may wait to find out.
+func TestAllClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		busy := &table.RejectedError{Reason: "status 503"}
+		g := gates{"shut": newTable(&service{closed: busy}, nil), "left": nil}
+		way := newTable(&service{closed: busy}, g, "left", "shut")
+		for i := range 20 {
+			begun := time.Now()
+			_, err := way.Commit(ctx, table.Txn{})
+			var rejected *table.RejectedError
+			if !errors.As(err, &rejected) {
+				t.Fatalf("call %d: %v", i, err)
+			}
+			if took := time.Since(begun); i > 0 && took > 0 {
+				t.Errorf("call %d took %s", i, took)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+}
+
 // TestProbe opens a way again without a call that waits for it.
 func TestProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
