Start nothing at a runner before its agent has listed it anew

A runner was replaced; the leader took the list of the former one for its, ordered a task, and the agent heard the order before it had listed and left it undone. The leader took it to be over, started it elsewhere, and a second word started it here too. Ruled out: words that overtake each other (serials), a late order (19.910 s, 8 ms after the second word). A report without a list closes the worker, and an agent does not count a word as heard whose orders it left undone. TestReplacedRunner and TestOrdersBeforeList fail before.

--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -117,3 +117,23 @@
 		t.Errorf("starts %v, want j2 at once", word.Starts)
 	}
 }
+
+// TestReplacedRunner has another runner come up at an agent. Nothing may start
+// there before its agent has listed what it runs.
+func TestReplacedRunner(t *testing.T) {
+	b := newBed(t)
+	b.join("a")
+	b.submit(gpuJob("j1", 1, 8))
+	b.report("a", nil)
+	first := b.run[taskOf("j1", 0)]
+	reborn := func(listed bool) func(*control.Report) {
+		return func(r *control.Report) { r.Runner.ID.Born, r.Listed = 2, listed }
+	}
+	if word := b.report("a", reborn(false)); len(word.Starts) != 0 {
+		t.Errorf("started %v before the list", word.Starts)
+	}
+	word := b.report("a", reborn(true))
+	if len(word.Starts) != 1 || word.Starts[0].Run <= first {
+		t.Errorf("starts %v, want j1 with a run above %d", word.Starts, first)
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -165,6 +165,7 @@
 	for _, refusal := range r.Refusals {
 		c.refused(now, w, refusal)
 	}
+	w.listed = r.Listed
 	if r.Listed {
 		c.list(now, w, r)
 	}
@@ -218,7 +219,6 @@
 
 // list compares the tasks that the runner has with those that it should have.
 func (c *Core) list(now time.Time, w *worker, r control.Report) {
-	w.listed = true
 	present := make(map[work.TaskID]work.Run, len(r.Tasks))
 	for _, t := range r.Tasks {
 		present[t.ID] = max(present[t.ID], t.Run)
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -48,10 +48,15 @@
 	if e.Word.Serial <= c.heard {
 		return
 	}
-	c.heard = e.Word.Serial
-	if c.runner != nil && e.Word.Runner == c.runner.ID && !c.gone {
-		c.obey(now, e)
+	if c.runner == nil || e.Word.Runner != c.runner.ID || c.gone {
+		return
+	}
+	if c.listed {
+		// A word whose starts are left undone must not count as heard: the
+		// leader would take them to be over.
+		c.heard = e.Word.Serial
 	}
+	c.obey(now, e)
 }
 
 // lostGate asks another gate after one that did not answer.
--- /dev/null
+++ b/internal/runner/runner_test.go
@@ -0,0 +1,190 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/runner"
+	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+// bed drives the core of an agent by hand and keeps its last effects.
+type bed struct {
+	t       *testing.T
+	now     time.Time
+	core    *runner.Core
+	effects []any
+	serial  control.Serial
+}
+
+var self = control.RunnerID{Name: "i-1", Born: 1}
+
+func newBed(t *testing.T) *bed {
+	return &bed{
+		t: t, now: time.Unix(1000, 0),
+		core: runner.New("a", 7, []machine.Node{"gate:1"}, runner.WithHold(6*time.Second)),
+	}
+}
+
+func (b *bed) step(event any) {
+	b.effects = b.core.Step(b.now, event)
+}
+
+func (b *bed) wait(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.step(runner.Tick{})
+}
+
+// find returns the first of the last effects of a type.
+func find[T any](b *bed) (T, bool) {
+	for _, effect := range b.effects {
+		if e, ok := effect.(T); ok {
+			return e, true
+		}
+	}
+	var none T
+	return none, false
+}
+
+func must[T any](b *bed) T {
+	b.t.Helper()
+	effect, ok := find[T](b)
+	if !ok {
+		b.t.Fatalf("no %T among %v", effect, b.effects)
+	}
+	return effect
+}
+
+func (b *bed) beat() {
+	b.step(runner.Beat{Runner: control.Runner{ID: self, Pool: "p"}, Seq: 1, Clock: 5000})
+}
+
+// word answers a report with orders.
+func (b *bed) word(send runner.Send, change func(*control.Word)) {
+	b.serial++
+	word := control.Word{Leads: true, Epoch: 1, Fence: 1, Serial: b.serial, Runner: self}
+	if change != nil {
+		change(&word)
+	}
+	b.step(runner.Heard{Call: send, Word: word})
+}
+
+// list answers a look.
+func (b *bed) list(look runner.Look, tasks ...control.Task) {
+	b.step(runner.LookResult{Call: look, Answer: runner.Accepted, Clock: 5000 + runner.Clock(b.now.Sub(time.Unix(1000, 0)).Milliseconds()), Tasks: tasks})
+}
+
+// ready brings the agent to where it takes orders, and returns its report.
+func (b *bed) ready() runner.Send {
+	b.t.Helper()
+	b.beat()
+	b.word(must[runner.Send](b), nil)
+	b.list(must[runner.Look](b))
+	return must[runner.Send](b)
+}
+
+func start(run work.Run) control.Start {
+	return control.Start{Task: work.TaskID{StepID: work.StepID{Job: "j1"}}, Run: run}
+}
+
+// TestOrdersBeforeList has orders arrive before the runner's tasks are listed.
+// They must not count as heard, since they were not carried out.
+func TestOrdersBeforeList(t *testing.T) {
+	b := newBed(t)
+	b.beat()
+	b.word(must[runner.Send](b), func(w *control.Word) { w.Starts = []control.Start{start(1)} })
+	if call, ok := find[runner.StartTask](b); ok {
+		t.Errorf("started %v before the list", call.Start)
+	}
+	b.list(must[runner.Look](b))
+	if report := must[runner.Send](b).Report; report.Heard != 0 || !report.Listed {
+		t.Errorf("heard %d, listed %t", report.Heard, report.Listed)
+	}
+}
+
+// TestUnanswered has a start without an answer. It is in doubt until the runner
+// has listed its tasks under a higher token; then it will never run.
+func TestUnanswered(t *testing.T) {
+	b := newBed(t)
+	b.word(b.ready(), func(w *control.Word) { w.Starts = []control.Start{start(1)} })
+	call := must[runner.StartTask](b)
+	b.step(runner.StartResult{Call: call, Answer: runner.Unanswered})
+	look := must[runner.Look](b)
+	if look.Token <= call.Token || look.Wait != 0 {
+		t.Errorf("token %d after %d, wait %s", look.Token, call.Token, look.Wait)
+	}
+	b.now = b.now.Add(10 * time.Millisecond)
+	b.list(look)
+	report := must[runner.Send](b).Report
+	if len(report.Tasks) != 0 || len(report.Refusals) != 1 || report.Refusals[0].Run != 1 {
+		t.Errorf("tasks %v, refusals %v", report.Tasks, report.Refusals)
+	}
+}
+
+// TestUnansweredRuns has a start without an answer that took effect.
+func TestUnansweredRuns(t *testing.T) {
+	b := newBed(t)
+	b.word(b.ready(), func(w *control.Word) { w.Starts = []control.Start{start(1)} })
+	call := must[runner.StartTask](b)
+	b.step(runner.StartResult{Call: call, Answer: runner.Unanswered})
+	b.list(must[runner.Look](b), control.Task{ID: start(1).Task, Run: 1, Phase: control.Running})
+	report := must[runner.Send](b).Report
+	if len(report.Tasks) != 1 || report.Tasks[0].Phase != control.Running || len(report.Refusals) != 0 {
+		t.Errorf("tasks %v, refusals %v", report.Tasks, report.Refusals)
+	}
+}
+
+// TestStopFirst has a stop arrive for a run that the agent does not know. The
+// run must not start later.
+func TestStopFirst(t *testing.T) {
+	b := newBed(t)
+	send := b.ready()
+	b.word(send, func(w *control.Word) {
+		w.Stops = []control.Stop{{Task: start(1).Task, Run: 1}}
+	})
+	if report := must[runner.Send](b).Report; len(report.Refusals) != 1 {
+		t.Errorf("refusals %v", report.Refusals)
+	}
+	b.word(send, func(w *control.Word) { w.Starts = []control.Start{start(1)} })
+	if call, ok := find[runner.StartTask](b); ok {
+		t.Errorf("started %v after its stop", call.Start)
+	}
+}
+
+// TestStaleWord has the answer of a leader arrive so late that another one may
+// lead. It must not be acted on.
+func TestStaleWord(t *testing.T) {
+	b := newBed(t)
+	send := b.ready()
+	b.now = b.now.Add(2 * time.Second)
+	b.word(send, func(w *control.Word) { w.Starts = []control.Start{start(1)} })
+	if call, ok := find[runner.StartTask](b); ok {
+		t.Errorf("started %v by a stale word", call.Start)
+	}
+}
+
+// TestSilentRunner has a runner that does not answer. What it ran is given up
+// only when the lease has run out by a slow clock.
+func TestSilentRunner(t *testing.T) {
+	b := newBed(t)
+	b.word(b.ready(), func(w *control.Word) { w.Starts = []control.Start{start(1)} })
+	b.step(runner.StartResult{Call: must[runner.StartTask](b), Answer: runner.Accepted})
+	last := b.now
+	for range 200 {
+		b.wait(100 * time.Millisecond)
+		if look, ok := find[runner.Look](b); ok {
+			b.step(runner.LookResult{Call: look, Answer: runner.Unanswered})
+		}
+		if send, ok := find[runner.Send](b); ok {
+			if send.Report.Lost {
+				break
+			}
+			b.word(send, nil)
+		}
+	}
+	if took := b.now.Sub(last); took < 6*time.Second || took > 12*time.Second {
+		t.Errorf("given up after %s", took)
+	}
+}
