Bound the log and count what it says

Lines go through a queue of their own: at most 400 of a kind a second, what is dropped is counted and said, and a stuck output blocks nobody. Each process serves counters and histograms by account and queue at 9100/metrics.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"os"
+	"time"
 
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"github.com/lovageroad/lovageroad/internal/logs"
 	"github.com/lovageroad/lovageroad/platform"
 )
 
@@ -26,8 +28,10 @@
 	return &cli.Command{
 		Name: name, Usage: usage,
 		Action: func(ctx context.Context, _ *cli.Command) error {
+			writer := logs.NewWriter(os.Stdout, time.Now)
+			defer writer.Close()
 			klog.LogToStderr(false)
-			klog.SetOutput(os.Stdout)
+			klog.SetOutput(writer)
 			return run(ctx)
 		},
 	}
--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -131,7 +131,7 @@
 	c.jobs[s.Job.ID] = j
 	c.live = append(c.live, j)
 	c.plan = true
-	c.log(Line{Event: "job admitted", Job: s.Job.ID, Outcome: string(s.Job.Queue), Detail: describe(s.Job), Count: len(s.Job.Steps)})
+	c.log(Line{Event: "job admitted", Job: s.Job.ID, Detail: describe(s.Job), Count: len(s.Job.Steps)})
 	if c.cancelled[s.Job.ID] {
 		delete(c.cancelled, s.Job.ID)
 		c.finish(now, j, Cancelled)
@@ -190,6 +190,15 @@
 	return j.state == Completed || j.state == Failed || j.state == Cancelled
 }
 
+// begin takes note that a task of the job runs.
+func (c *Core) begin(now time.Time, j *job) {
+	if j.began {
+		return
+	}
+	j.began = true
+	c.log(Line{Event: "job began", Job: j.Job.ID, Age: now.Sub(j.known)})
+}
+
 // advance lets occurrences become due and ends those whose steps are done.
 func (c *Core) advance(now time.Time, j *job) {
 	if j.over() {
--- a/internal/region/log.go
+++ b/internal/region/log.go
@@ -13,6 +13,8 @@
 	Event   string
 	Epoch   lease.Epoch
 	Job     work.JobID
+	Queue   work.QueueID
+	Account work.AccountID
 	Task    work.TaskID
 	Run     work.Run
 	Worker  control.AgentID
@@ -33,6 +35,8 @@
 		}
 	}
 	add(l.Job != "", "job", l.Job)
+	add(l.Queue != "", "queue", l.Queue)
+	add(l.Account != "", "account", l.Account)
 	add(l.Task.Job != "", "task", l.Task.String())
 	add(l.Run != 0, "run", l.Run)
 	add(l.Worker != "", "worker", l.Worker)
@@ -44,11 +48,13 @@
 	return pairs
 }
 
-// WithLog returns an option of New's result: it sets the function that takes
-// each line. It must not block.
+// WithLog sets the function that takes each line. It must not block.
 func (c *Core) WithLog(log func(Line)) *Core {
 	c.log = func(line Line) {
 		line.Epoch = c.epoch
+		if j := c.jobs[line.Job]; j != nil {
+			line.Queue, line.Account = j.Job.Queue, j.Job.Account
+		}
 		log(line)
 	}
 	return c
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -280,9 +280,16 @@
 		for _, row := range b.rows() {
 			row.unsure = conflict != nil
 		}
-		c.log(Line{Event: "records not written", Outcome: err.Error(), Count: len(b.Txn.Writes)})
+		if !c.behind {
+			c.behind = true
+			c.log(Line{Event: "records not written", Outcome: err.Error(), Count: len(b.Txn.Writes)})
+		}
 		return true
 	}
+	if c.behind {
+		c.behind = false
+		c.log(Line{Event: "records written again", Count: len(b.Txn.Writes)})
+	}
 	for i, write := range b.Txn.Writes {
 		row := b.rows()[i]
 		row.version = version
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -67,8 +67,11 @@
 
 		changes uint64
 		saving  bool
-		plan    bool
-		paces   map[work.QueueID]*pace
+
+		// behind says that the last batch was not written.
+		behind bool
+		plan   bool
+		paces  map[work.QueueID]*pace
 
 		// rooms are the capacities of the pools.
 		rooms map[work.PoolID]work.Resources
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -249,9 +249,7 @@
 		return
 	}
 	t.reported = true
-	if !j.began {
-		j.began = true
-	}
+	c.begin(now, j)
 	t.percent = r.Percent
 	if r.Checkpoint != "" && s.spec.Checkpoints {
 		s.keep(t, r.Checkpoint)
--- a/internal/serve/agent.go
+++ b/internal/serve/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -52,8 +51,9 @@
 		core   *runner.Core
 		client *control.Client
 		events chan any
-		done   sync.WaitGroup
 		ctx    context.Context
+
+		metrics *Metrics
 	}
 )
 
@@ -62,10 +62,14 @@
 	life := control.Life(boottime.Now().UnixNano())
 	return &Agent{
 		config: config, client: control.NewClient(), events: make(chan any, maxEvents),
-		core: runner.New(config.ID, life, config.Gates, runner.WithHold(config.Hold)),
+		metrics: NewMetrics(),
+		core:    runner.New(config.ID, life, config.Gates, runner.WithHold(config.Hold)),
 	}
 }
 
+// Metrics returns what the agent counts.
+func (a *Agent) Metrics() *Metrics { return a.metrics }
+
 // Post hands the core an event of the runner. It returns false if the context
 // ends first.
 func (a *Agent) Post(ctx context.Context, event any) bool {
@@ -129,6 +133,7 @@
 func (a *Agent) carry(effect any) {
 	switch e := effect.(type) {
 	case runner.Log:
+		a.metrics.events.WithLabelValues(e.Event).Inc()
 		klog.InfoS(e.Event, e.Pairs...)
 	case runner.Send:
 		a.call(func(ctx context.Context) any {
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -84,6 +84,7 @@
 		client  *control.Client
 		holder  *configuration.Holder
 		entry   *entry.Entry
+		metrics *Metrics
 		ctx     context.Context
 		cancel  context.CancelFunc
 		leaving chan struct{}
@@ -102,9 +103,9 @@
 func NewGate(config GateConfig) *Gate {
 	g := &Gate{
 		config: config, client: control.NewClient(), holder: configuration.NewHolder(),
-		leaving: make(chan struct{}), peers: config.Seeds,
+		leaving: make(chan struct{}), peers: config.Seeds, metrics: NewMetrics(),
 	}
-	g.table = relay.New(config.Service, g.client, g.others, logWay)
+	g.table = relay.New(config.Service, g.client, g.others, g.logWay)
 	g.entry = entry.New(g.table, g, g.holder, config.Key)
 	g.store = machine.NewStore()
 	g.elector = lease.NewElector(leaseKey, config.Node, g.store,
@@ -112,13 +113,17 @@
 	return g
 }
 
-func logWay(open bool, reason string) {
+func (g *Gate) logWay(open bool, reason string) {
+	g.metrics.open.Set(flag(open))
 	klog.InfoS("way to the table changed", "open", open, "reason", reason)
 }
 
 // Entry returns what accepts jobs.
 func (g *Gate) Entry() *entry.Entry { return g.entry }
 
+// Metrics returns what the gate counts.
+func (g *Gate) Metrics() *Metrics { return g.metrics }
+
 // Holder returns the configuration that the gate has.
 func (g *Gate) Holder() *configuration.Holder { return g.holder }
 
@@ -241,6 +246,7 @@
 	if !g.holder.Accept(c, row.Version, asked) {
 		return
 	}
+	g.metrics.version.Set(float64(c.Version))
 	klog.InfoS("configuration in force", "version", c.Version, "row", row.Version, "queues", len(c.Queues), "accounts", len(c.Accounts))
 	if l := g.leading(); l != nil {
 		l.configure(c)
@@ -328,6 +334,8 @@
 		klog.InfoS("leader changed", "epoch", current.Epoch, "holder", current.Holder, "self", held)
 	}
 	g.current = current
+	g.metrics.epoch.Set(float64(current.Epoch))
+	g.metrics.leading.Set(flag(held))
 	if g.leader != nil && (!held || g.leader.epoch != current.Epoch) {
 		g.leader.end()
 		g.leader = nil
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -116,7 +116,7 @@
 		}
 		core := region.New(begun, l.epoch, l.guard, l.guard.Version, settings,
 			region.WithHold(l.gate.config.Hold), region.WithStop(l.gate.config.Stop))
-		core.WithLog(logLine)
+		core.WithLog(l.logLine)
 		core.Begin(boottime.Now(), sets[0], sets[1], sets[2], sets[3])
 		l.mu.Lock()
 		l.core = core
@@ -127,7 +127,8 @@
 	return 0, false
 }
 
-func logLine(line region.Line) {
+func (l *leader) logLine(line region.Line) {
+	l.gate.metrics.observe(line)
 	klog.InfoS(line.Event, line.Pairs()...)
 }
 
