Find a new leader without waiting for the lost one

Cause: a takeover settled 2 s after the new leader had loaded: an agent that had lost the leader was sent back to it by gates that did not know yet, and waited 1.3 s for it again, with all its reports under way. An agent does not take the word for a leader that has just not answered, asks two gates at a time, and none that owes it an answer.

--- a/internal/command/docs_test.go
+++ b/internal/command/docs_test.go
@@ -67,8 +67,8 @@
 // settings, in order, against the command dev.
 func TestOperatingPage(t *testing.T) {
 	port := startDev(t)
-	lines := append(pageLines(t, "../../docs/OPERATING.md", "lovageroad template "),
-		pageLines(t, "../../docs/OPERATING.md", "lovageroad account ")...)
+	lines := append(pageLines(t, "../../docs/OPERATIONS.md", "lovageroad template "),
+		pageLines(t, "../../docs/OPERATIONS.md", "lovageroad account ")...)
 	if len(lines) < 4 {
 		t.Fatalf("the page has %d lines", len(lines))
 	}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
 const (
@@ -17,7 +18,16 @@
 	startLife = 1500 * time.Millisecond
 
 	// tryAgain is the wait before another gate is asked.
-	tryAgain = 100 * time.Millisecond
+	tryAgain = 150 * time.Millisecond
+
+	// distrust is how long the word of other gates is not taken that a leader
+	// leads which did not answer: as long as they may take to find out.
+	distrust = 3 * time.Second
+
+	// maxPolls bounds the reports under way, and maxSearches those while no
+	// leader is known.
+	maxPolls    = 3
+	maxSearches = 2
 
 	// askAgain is the wait before a runner that did not answer is asked again.
 	askAgain = 200 * time.Millisecond
@@ -26,6 +36,7 @@
 // onHeard takes in the answer of a gate.
 func (c *Core) onHeard(now time.Time, e Heard) {
 	c.polls--
+	c.asked[e.Call.To]--
 	if e.Err != nil {
 		c.lostGate(now, e.Call)
 		return
@@ -44,7 +55,7 @@
 		c.report = true
 	}
 	c.fence = e.Word.Fence
-	c.leader = e.Call.To
+	c.leader, c.nextTry = e.Call.To, time.Time{}
 	if e.Word.Serial <= c.heard {
 		return
 	}
@@ -63,6 +74,8 @@
 func (c *Core) lostGate(now time.Time, call Send) {
 	if call.To == c.leader {
 		c.leader = ""
+		c.lost, c.lostAt = call.To, now
+		c.log("leader lost", "leader", call.To, "epoch", c.epoch)
 	}
 	c.report = true
 	c.nextTry = now.Add(tryAgain)
@@ -70,7 +83,8 @@
 
 // follow goes to the leader that another gate names.
 func (c *Core) follow(now time.Time, e Heard) {
-	if e.Word.Epoch >= c.epoch && e.Word.Leader != "" && e.Word.Leader != e.Call.To {
+	old := e.Word.Leader == c.lost && e.Word.Epoch <= c.epoch && now.Sub(c.lostAt) < distrust
+	if e.Word.Epoch >= c.epoch && e.Word.Leader != "" && e.Word.Leader != e.Call.To && !old {
 		c.leader = e.Word.Leader
 	} else if c.leader == e.Call.To {
 		c.leader = ""
@@ -350,7 +364,8 @@
 // tell reports to the leader: at once if something has changed, and again when
 // the last report is answered.
 func (c *Core) tell(now time.Time) {
-	if now.Before(c.nextTry) || c.polls > 0 && !c.report || c.polls > 2 {
+	searching := c.leader == "" && c.polls < maxSearches
+	if now.Before(c.nextTry) || c.polls > 0 && !c.report && !searching || c.polls >= maxPolls {
 		return
 	}
 	to := c.leader
@@ -358,15 +373,31 @@
 		if len(c.gates) == 0 {
 			return
 		}
-		to = c.gates[c.turn%len(c.gates)]
-		c.turn++
+		to = c.search()
+		c.nextTry = now.Add(tryAgain)
+		if to == "" {
+			return
+		}
 	}
 	c.report = false
 	c.polls++
+	c.asked[to]++
 	c.seq++
 	c.effects = append(c.effects, Send{To: to, Report: c.compose(), Sent: now})
 }
 
+// search returns the next gate to ask for the leader: one that owes no answer.
+func (c *Core) search() machine.Node {
+	for range c.gates {
+		to := c.gates[c.turn%len(c.gates)]
+		c.turn++
+		if c.asked[to] == 0 {
+			return to
+		}
+	}
+	return ""
+}
+
 func (c *Core) compose() control.Report {
 	r := control.Report{
 		Agent: c.id, Life: c.life, Seq: c.seq, Epoch: c.epoch, Heard: c.heard,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -83,10 +83,16 @@
 		counter uint16
 		heard   control.Serial
 
-		leader  machine.Node
-		gates   []machine.Node
-		turn    int
-		polls   int
+		leader machine.Node
+		lost   machine.Node
+		lostAt time.Time
+		gates  []machine.Node
+		turn   int
+		polls  int
+
+		// asked counts the reports under way by gate.
+		asked map[machine.Node]int
+
 		report  bool
 		nextTry time.Time
 
@@ -234,7 +240,7 @@
 	for _, option := range options {
 		option(&config)
 	}
-	c := &Core{config: config, id: id, life: life, gates: gates}
+	c := &Core{config: config, id: id, life: life, gates: gates, asked: make(map[machine.Node]int)}
 	c.forget()
 	return c
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -19,6 +20,9 @@
 	serial  control.Serial
 }
 
+// maxDead is how many reports may wait for a gate that does not answer.
+const maxDead = 2
+
 var self = control.RunnerID{Name: "i-1", Born: 1}
 
 func newBed(t *testing.T) *bed {
@@ -188,3 +192,39 @@
 		t.Errorf("given up after %s", took)
 	}
 }
+
+// TestLostLeader has a leader die while the other gate still names it. The agent
+// must go on to ask the gates until one names another leader or a later epoch.
+func TestLostLeader(t *testing.T) {
+	b := newBed(t)
+	b.core.Gates([]machine.Node{"gate:2"})
+	send := b.ready()
+	b.step(runner.Heard{Call: send, Err: context.DeadlineExceeded})
+	asked := make(map[machine.Node]int)
+	for range 10 {
+		b.wait(200 * time.Millisecond)
+		send, ok := find[runner.Send](b)
+		if !ok {
+			continue
+		}
+		asked[send.To]++
+		if send.To == "gate:2" {
+			b.step(runner.Heard{Call: send, Word: control.Word{Leader: "gate:1", Epoch: 1}})
+		}
+	}
+	if asked["gate:1"] > maxDead || asked["gate:2"] < 3 {
+		t.Errorf("asked %v", asked)
+	}
+	for range 3 {
+		b.wait(200 * time.Millisecond)
+		if send, ok := find[runner.Send](b); ok && send.To == "gate:2" {
+			b.step(runner.Heard{Call: send, Word: control.Word{Leader: "gate:3", Epoch: 2}})
+			b.wait(200 * time.Millisecond)
+			if send, ok := find[runner.Send](b); !ok || send.To != "gate:3" {
+				t.Errorf("report to %q, want the new leader", send.To)
+			}
+			return
+		}
+	}
+	t.Error("the other gate was not asked again")
+}
