--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -36,8 +36,8 @@
 		// Retry is the wait after a start that was refused.
 		Retry time.Duration
 
-		// Stop is the longest time that a stop takes at a runner.
-		Stop time.Duration
+		// Gang is how long a member of a gang waits for the others.
+		Gang time.Duration
 	}
 
 	// Option sets a field of a Config.
@@ -84,15 +84,15 @@
 	return func(c *Config) { c.Hold = hold }
 }
 
-// WithStop sets the longest time that a stop takes at a runner.
-func WithStop(stop time.Duration) Option {
-	return func(c *Config) { c.Stop = stop }
+// WithGang sets how long a member of a gang waits for the others.
+func WithGang(wait time.Duration) Option {
+	return func(c *Config) { c.Gang = wait }
 }
 
 // New returns the core of a leader that begins an epoch. The guard fails once
 // another epoch has begun; early is the table's version at that time.
 func New(now time.Time, epoch lease.Epoch, guard table.Check, early table.Version, settings *configuration.Configuration, options ...Option) *Core {
-	config := Config{Hold: 6 * time.Second, Answer: 1500 * time.Millisecond, Retry: 300 * time.Millisecond, Stop: time.Second}
+	config := Config{Hold: 6 * time.Second, Answer: 1500 * time.Millisecond, Retry: 300 * time.Millisecond, Gang: 3 * time.Second}
 	for _, option := range options {
 		option(&config)
 	}
@@ -125,6 +125,7 @@
 	}
 	for _, j := range c.live {
 		c.advance(now, j)
+		c.watchGangs(now, j)
 	}
 	c.prune()
 	if c.plan || c.delayed(now) {
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -137,3 +137,32 @@
 		t.Errorf("starts %v, want j1 with a run above %d", word.Starts, first)
 	}
 }
+
+// TestGangIncomplete has a new leader find one of two members of a gang, and no
+// word of the agent that was to run the other one. The member is stopped before
+// it ends alone; one that has made progress is left to run.
+func TestGangIncomplete(t *testing.T) {
+	for _, percent := range []int{0, 30} {
+		b := newBed(t)
+		b.join("a")
+		b.join("silent")
+		j := gpuJob("j1", 2, 8)
+		j.Steps[0].Gang = true
+		b.submit(j)
+		b.report("a", nil)
+		b.report("silent", nil)
+		found := taskOf("j1", 0)
+		run := b.run[found]
+		b.lead(2)
+		var word control.Word
+		for range 5 {
+			b.now = b.now.Add(500 * time.Millisecond)
+			word = b.report("a", func(r *control.Report) {
+				r.Tasks = []control.Task{{ID: found, Run: run, Phase: control.Running, Percent: percent}}
+			})
+		}
+		if stopped := len(word.Stops) == 1; stopped != (percent == 0) {
+			t.Errorf("at %d percent: stops %v", percent, word.Stops)
+		}
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -355,6 +355,42 @@
 	return false
 }
 
+// gangShare is the part of the time that members of a gang wait after which one
+// that is not complete is stopped, so that the stops arrive in time.
+const gangShare = 0.6
+
+// watchGangs stops members of a gang that wait for others which do not come. A
+// gang that has made progress is complete, though not all of it may be known yet.
+func (c *Core) watchGangs(now time.Time, j *job) {
+	limit := time.Duration(gangShare * float64(c.config.Gang))
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			if s.spec.Gang && !o.done && s.waits(now, limit) {
+				c.log(Line{Event: "gang incomplete", Task: work.TaskID{StepID: s.id}, Age: limit})
+				c.halt(s)
+			}
+		}
+	}
+}
+
+// waits reports whether a member of the gang has waited longer than the limit
+// for one that does not run.
+func (s *step) waits(now time.Time, limit time.Duration) bool {
+	missing, waited := false, false
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		switch {
+		case t.done || t.percent > 0 || t.stopping:
+			return false
+		case t.worker == nil || !t.reported:
+			missing = true
+		case now.Sub(t.ordered) > limit:
+			waited = true
+		}
+	}
+	return missing && waited
+}
+
 // refused takes note of a run that did not start and never will.
 func (c *Core) refused(now time.Time, w *worker, r control.Refusal) {
 	_, _, t := c.find(r.Task)
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -73,7 +73,7 @@
 		Key     table.Key
 		Decode  Decoder
 		Hold    time.Duration
-		Stop    time.Duration
+		Gang    time.Duration
 	}
 
 	// Gate is the process of an entry VM: it accepts jobs, and leads the region
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		core := region.New(begun, l.epoch, l.guard, l.guard.Version, settings,
-			region.WithHold(l.gate.config.Hold), region.WithStop(l.gate.config.Stop))
+			region.WithHold(l.gate.config.Hold), region.WithGang(l.gate.config.Gang))
 		core.WithLog(l.logLine)
 		core.Begin(boottime.Now(), sets[0], sets[1], sets[2], sets[3])
 		l.mu.Lock()
