Look at waiting tasks when something has changed, not at each tick

A count of holds by task replaces the search, and what waits is planned again when something changes, a retry is due, or after 200 ms. TestReplacedRunner found that a new list of an agent did not plan; mended.

--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -55,6 +55,12 @@
 		live    []*job
 		workers map[control.AgentID]*worker
 
+		// held counts the workers on which a task takes room.
+		held map[work.TaskID]int
+
+		// again is when the floor is to be planned though nothing has changed.
+		again time.Time
+
 		// cancelled are jobs that are not known yet.
 		cancelled map[work.JobID]bool
 
@@ -100,6 +106,7 @@
 		config: config, epoch: epoch, guard: guard, began: now, early: early, settings: settings,
 		jobs:    make(map[work.JobID]*job),
 		workers: make(map[control.AgentID]*worker), cancelled: make(map[work.JobID]bool),
+		held:  make(map[work.TaskID]int),
 		paces: make(map[work.QueueID]*pace),
 		rooms: make(map[work.PoolID]work.Resources),
 		log:   func(Line) {},
@@ -128,7 +135,7 @@
 		c.watchGangs(now, j)
 	}
 	c.prune()
-	if c.plan || c.delayed(now) {
+	if c.plan || !c.again.IsZero() && !now.Before(c.again) {
 		c.plan = false
 		c.schedule(now)
 	}
--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -34,6 +34,10 @@
 	// that urgent jobs may want.
 	patientSlack = 3 * time.Second
 
+	// lookAgain is how often waiting tasks are looked at again though nothing has
+	// changed: some become urgent, or may go far.
+	lookAgain = 200 * time.Millisecond
+
 	// urgency is how long before the latest start in time a job takes the place
 	// of lower priorities: about as long as a stop takes.
 	urgency = 1500 * time.Millisecond
@@ -69,10 +73,12 @@
 func (c *Core) schedule(now time.Time) {
 	c.measure()
 	claims := c.claims()
+	c.again = time.Time{}
 	demands := c.demands(now, claims)
 	if len(demands) == 0 {
 		return
 	}
+	c.later(now.Add(lookAgain))
 	workers := c.sorted()
 	views := make([]plan.Worker, len(workers))
 	for i, w := range workers {
@@ -97,6 +103,13 @@
 	}
 }
 
+// later has the floor planned again at a time, if not before.
+func (c *Core) later(at time.Time) {
+	if c.again.IsZero() || at.Before(c.again) {
+		c.again = at
+	}
+}
+
 // order sends a task to a worker. The members of a gang get one run.
 func (c *Core) order(now time.Time, start plan.Start, runs map[work.StepID]work.Run) {
 	j, s, t := c.find(start.Task)
@@ -111,7 +124,7 @@
 		run = runs[s.id]
 	}
 	t.worker, t.run, t.reported, t.stopping, t.ordered = w, run, false, false, now
-	w.held[start.Task] = &hold{run: run, claim: s.spec.Claim()}
+	c.hold(w, start.Task, &hold{run: run, claim: s.spec.Claim()})
 	w.notify()
 	c.log(Line{Event: "task ordered", Task: start.Task, Run: run, Worker: w.id, Age: now.Sub(j.known)})
 }
@@ -120,23 +133,6 @@
 	return max(t.run, work.Run(c.epoch-1)*runsPerEpoch) + 1
 }
 
-// delayed reports whether a task may start now that had to wait before.
-func (c *Core) delayed(now time.Time) bool {
-	for _, j := range c.live {
-		if j.over() {
-			continue
-		}
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if !o.done && !s.ready.IsZero() && s.done < len(s.tasks) && len(c.waiting(now, j, s)) > 0 {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // claims returns the jobs whose accelerators are within their accounts'
 // guarantees: those of priority 0, in the order of their arrival.
 func (c *Core) claims() map[*job]bool {
@@ -218,10 +214,14 @@
 	var tasks []int
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.done || t.worker != nil || now.Before(t.retry) {
+		if t.done || t.worker != nil {
+			continue
+		}
+		if now.Before(t.retry) {
+			c.later(t.retry)
 			continue
 		}
-		if !c.elsewhere(work.TaskID{StepID: s.id, Index: i}, nil) {
+		if c.held[work.TaskID{StepID: s.id, Index: i}] == 0 {
 			tasks = append(tasks, i)
 		}
 	}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -84,10 +84,9 @@
 	return workers
 }
 
+// notify has the worker's agent sent its orders.
 func (w *worker) notify() {
-	if !w.woken {
-		w.woken = true
-	}
+	w.woken = true
 }
 
 func (c *Core) newWorker(now time.Time, id control.AgentID) *worker {
@@ -165,7 +164,10 @@
 	for _, refusal := range r.Refusals {
 		c.refused(now, w, refusal)
 	}
-	w.listed = r.Listed
+	if w.listed != r.Listed {
+		w.listed = r.Listed
+		c.plan = true
+	}
 	if r.Listed {
 		c.list(now, w, r)
 	}
@@ -274,8 +276,11 @@
 	if t != nil {
 		h.claim = s.spec.Claim()
 	}
-	adopt := t != nil && !j.over() && !t.done && t.worker == nil && r.Run > t.run && !c.elsewhere(r.ID, w)
-	w.held[r.ID] = h
+	if w.held[r.ID] != nil {
+		c.unhold(w, r.ID)
+	}
+	adopt := t != nil && !j.over() && !t.done && t.worker == nil && r.Run > t.run && c.held[r.ID] == 0
+	c.hold(w, r.ID, h)
 	if !adopt {
 		c.log(Line{Event: "stray task", Task: r.ID, Run: r.Run, Worker: w.id})
 		w.notify()
@@ -287,14 +292,18 @@
 	return h
 }
 
-// elsewhere reports whether a task may run on another worker.
-func (c *Core) elsewhere(id work.TaskID, except *worker) bool {
-	for _, w := range c.workers {
-		if w != except && w.held[id] != nil {
-			return true
-		}
+// hold takes note that a task takes room on a worker.
+func (c *Core) hold(w *worker, id work.TaskID, h *hold) {
+	w.held[id] = h
+	c.held[id]++
+}
+
+// unhold takes note that a task does not take room on a worker any more.
+func (c *Core) unhold(w *worker, id work.TaskID) {
+	delete(w.held, id)
+	if c.held[id]--; c.held[id] == 0 {
+		delete(c.held, id)
 	}
-	return false
 }
 
 // vacate frees the room of a run and lets its task wait again.
@@ -303,7 +312,7 @@
 	if h == nil || h.run != run {
 		return
 	}
-	delete(w.held, id)
+	c.unhold(w, id)
 	c.plan = true
 	_, s, t := c.find(id)
 	if t == nil || t.worker != w || t.run != run {
