--- /dev/null
+++ b/internal/region/word.go
@@ -0,0 +1,62 @@
+package region
+
+import (
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/plan"
+)
+
+// Woken reports whether there are orders that the agent has not been sent.
+func (c *Core) Woken(agent control.AgentID) bool {
+	w := c.workers[agent]
+	return w != nil && w.woken
+}
+
+// Word returns the orders for an agent. Sending it extends the hold of all that
+// runs there.
+func (c *Core) Word(now time.Time, agent control.AgentID) control.Word {
+	w := c.workers[agent]
+	if w == nil {
+		return control.Word{Leads: true, Epoch: c.epoch}
+	}
+	w.expiry = now.Add(c.patience())
+	w.woken = false
+	w.serial++
+	word := control.Word{Leads: true, Epoch: c.epoch, Serial: w.serial, Fence: w.fence, Noted: w.noted}
+	if w.runner != nil {
+		word.Runner = w.runner.ID
+	}
+	for _, id := range w.tasks() {
+		h := w.held[id]
+		j, _, t := c.find(id)
+		ordered := t != nil && t.worker == w && t.run == h.run && !h.stray
+		switch {
+		case !ordered || t.stopping:
+			word.Stops = append(word.Stops, control.Stop{Task: id, Run: h.run})
+		case !h.reported:
+			word.Starts = append(word.Starts, control.Start{Task: id, Run: h.run, Spec: j.Job.Spec, Checkpoint: t.checkpoint})
+			if h.sent == 0 {
+				h.sent = w.serial
+			}
+		}
+	}
+	return word
+}
+
+// open reports whether tasks may start on the worker.
+func (w *worker) open(now time.Time) bool {
+	return !w.lost && w.listed && !w.dark && w.recorded() && !w.changing && !w.row.unsure && !w.runner.Draining && !now.Before(w.rest)
+}
+
+// view returns the worker as the planner sees it.
+func (w *worker) view(now time.Time) plan.Worker {
+	v := plan.Worker{ID: plan.WorkerID(w.id), Closed: true}
+	if w.runner == nil {
+		return v
+	}
+	v.Pool, v.Rack, v.Labels, v.Capacity = w.runner.Pool, w.runner.Rack, w.runner.Labels, w.runner.Capacity
+	v.Closed = !w.open(now)
+	v.Doubt = float64(w.streak)
+	return v
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/control"
-	"github.com/lovageroad/lovageroad/internal/plan"
 	"github.com/lovageroad/lovageroad/internal/work"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
@@ -325,81 +324,6 @@
 	}
 }
 
-// breakGang stops the other members of a gang of which one does not run.
-func (c *Core) breakGang(s *step, run work.Run) {
-	if !s.spec.Gang {
-		return
-	}
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		if t.worker != nil && t.run == run && !t.stopping {
-			t.stopping = true
-			t.worker.notify()
-		}
-	}
-}
-
-// mend breaks up gangs of which not all members were found.
-func (c *Core) mend(time.Time) {
-	for _, j := range c.live {
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				if s.spec.Gang && s.partial() {
-					c.halt(s)
-				}
-			}
-		}
-	}
-}
-
-// partial reports whether only some members of a gang run, or not all in one
-// run.
-func (s *step) partial() bool {
-	for i := range s.tasks[1:] {
-		a, b := &s.tasks[0], &s.tasks[i+1]
-		if (a.worker == nil) != (b.worker == nil) || a.worker != nil && a.run != b.run {
-			return true
-		}
-	}
-	return false
-}
-
-// gangShare is the part of the time that members of a gang wait after which one
-// that is not complete is stopped, so that the stops arrive in time.
-const gangShare = 0.6
-
-// watchGangs stops members of a gang that wait for others which do not come. A
-// gang that has made progress is complete, though not all of it may be known yet.
-func (c *Core) watchGangs(now time.Time, j *job) {
-	limit := time.Duration(gangShare * float64(c.config.Gang))
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			if s.spec.Gang && !o.done && s.waits(now, limit) {
-				c.log(Line{Event: "gang incomplete", Task: work.TaskID{StepID: s.id}, Age: limit})
-				c.halt(s)
-			}
-		}
-	}
-}
-
-// waits reports whether a member of the gang has waited longer than the limit
-// for one that does not run.
-func (s *step) waits(now time.Time, limit time.Duration) bool {
-	missing, waited := false, false
-	for i := range s.tasks {
-		t := &s.tasks[i]
-		switch {
-		case t.done || t.percent > 0 || t.stopping:
-			return false
-		case t.worker == nil || !t.reported:
-			missing = true
-		case now.Sub(t.ordered) > limit:
-			waited = true
-		}
-	}
-	return missing && waited
-}
-
 // refused takes note of a run that did not start and never will.
 func (c *Core) refused(now time.Time, w *worker, r control.Refusal) {
 	_, _, t := c.find(r.Task)
@@ -416,57 +340,3 @@
 		t.avoid = append(t.avoid, id)
 	}
 }
-
-// Woken reports whether there are orders that the agent has not been sent.
-func (c *Core) Woken(agent control.AgentID) bool {
-	w := c.workers[agent]
-	return w != nil && w.woken
-}
-
-// Word returns the orders for an agent. Sending it extends the hold of all that
-// runs there.
-func (c *Core) Word(now time.Time, agent control.AgentID) control.Word {
-	w := c.workers[agent]
-	if w == nil {
-		return control.Word{Leads: true, Epoch: c.epoch}
-	}
-	w.expiry = now.Add(c.patience())
-	w.woken = false
-	w.serial++
-	word := control.Word{Leads: true, Epoch: c.epoch, Serial: w.serial, Fence: w.fence, Noted: w.noted}
-	if w.runner != nil {
-		word.Runner = w.runner.ID
-	}
-	for _, id := range w.tasks() {
-		h := w.held[id]
-		j, _, t := c.find(id)
-		ordered := t != nil && t.worker == w && t.run == h.run && !h.stray
-		switch {
-		case !ordered || t.stopping:
-			word.Stops = append(word.Stops, control.Stop{Task: id, Run: h.run})
-		case !h.reported:
-			word.Starts = append(word.Starts, control.Start{Task: id, Run: h.run, Spec: j.Job.Spec, Checkpoint: t.checkpoint})
-			if h.sent == 0 {
-				h.sent = w.serial
-			}
-		}
-	}
-	return word
-}
-
-// open reports whether tasks may start on the worker.
-func (w *worker) open(now time.Time) bool {
-	return !w.lost && w.listed && !w.dark && w.recorded() && !w.changing && !w.row.unsure && !w.runner.Draining && !now.Before(w.rest)
-}
-
-// view returns the worker as the planner sees it.
-func (w *worker) view(now time.Time) plan.Worker {
-	v := plan.Worker{ID: plan.WorkerID(w.id), Closed: true}
-	if w.runner == nil {
-		return v
-	}
-	v.Pool, v.Rack, v.Labels, v.Capacity = w.runner.Pool, w.runner.Rack, w.runner.Labels, w.runner.Capacity
-	v.Closed = !w.open(now)
-	v.Doubt = float64(w.streak)
-	return v
-}
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -14,11 +13,9 @@
 	"github.com/lovageroad/lovageroad/internal/configuration"
 	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/entry"
-	"github.com/lovageroad/lovageroad/internal/loop"
 	"github.com/lovageroad/lovageroad/internal/region"
 	"github.com/lovageroad/lovageroad/internal/relay"
 	"github.com/lovageroad/lovageroad/internal/work"
-	"github.com/lovageroad/lovageroad/pkg/boottime"
 	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/table"
@@ -175,84 +172,6 @@
 	}
 }
 
-// watch follows the configuration.
-func (g *Gate) watch() {
-	var after table.Version
-	for g.ctx.Err() == nil {
-		asked := boottime.Now()
-		if after == 0 {
-			after = g.reread(asked)
-			continue
-		}
-		changes, version, err := g.table.Changes(g.ctx, g.config.Key, after, feedWait)
-		var history *table.HistoryError
-		switch {
-		case errors.As(err, &history):
-			klog.InfoS("history of the table is gone", "after", after)
-			after = 0
-			continue
-		case err != nil:
-			g.pause(retryPause)
-			continue
-		}
-		for _, change := range changes {
-			if !change.Deleted {
-				g.accept(change.Row, asked)
-			}
-		}
-		g.holder.Confirm(asked)
-		after = max(after, version)
-	}
-}
-
-// reread reads the configuration and returns the version after which changes
-// are to be followed, or 0 if it could not be read.
-func (g *Gate) reread(asked time.Time) table.Version {
-	newest, err := g.table.Newest(g.ctx)
-	if err == nil {
-		err = g.Refresh(g.ctx)
-	}
-	if err != nil || newest == 0 {
-		g.pause(retryPause)
-		return 0
-	}
-	if c, _ := g.holder.Current(); c == nil {
-		g.pause(retryPause)
-		return 0
-	}
-	g.holder.Confirm(asked)
-	return newest
-}
-
-// Refresh reads the configuration.
-func (g *Gate) Refresh(ctx context.Context) error {
-	asked := boottime.Now()
-	rows, err := g.table.Read(ctx, []table.Key{g.config.Key})
-	if err != nil {
-		return err
-	}
-	for _, row := range rows {
-		g.accept(row, asked)
-	}
-	return nil
-}
-
-func (g *Gate) accept(row table.Row, asked time.Time) {
-	c, err := g.config.Decode(row.Value)
-	if err != nil {
-		klog.ErrorS(err, "configuration unreadable", "row", row.Version)
-		return
-	}
-	if !g.holder.Accept(c, row.Version, asked) {
-		return
-	}
-	g.metrics.version.Set(float64(c.Version))
-	klog.InfoS("configuration in force", "version", c.Version, "row", row.Version, "queues", len(c.Queues), "accounts", len(c.Accounts))
-	if l := g.leading(); l != nil {
-		l.configure(c)
-	}
-}
-
 // meet announces the gate and finds the others.
 func (g *Gate) meet() {
 	written := false
@@ -284,89 +203,6 @@
 	return found
 }
 
-// campaign renews the lease, or takes it over when its holder is silent.
-func (g *Gate) campaign() {
-	leaving := false
-	for g.ctx.Err() == nil {
-		select {
-		case <-g.leaving:
-			if !leaving {
-				leaving = true
-				g.resign()
-			}
-		default:
-		}
-		g.elect(func(now time.Time) { g.elector.Tick(now) })
-		if leaving && g.leading() == nil {
-			return
-		}
-		g.pause(electorTick)
-	}
-}
-
-func (g *Gate) resign() {
-	g.elect(func(now time.Time) { g.elector.Resign(now) })
-}
-
-// elect lets the elector act, and carries out what it asks of the table.
-func (g *Gate) elect(act func(now time.Time)) {
-	g.mu.Lock()
-	now := boottime.Now()
-	g.store.Advance(now)
-	act(now)
-	effects := g.store.Take()
-	g.mu.Unlock()
-	for len(effects) > 0 {
-		ctx, cancel := context.WithTimeout(g.ctx, storeTimeout)
-		result := loop.Carry(ctx, g.table, nil, effects[0])
-		cancel()
-		g.mu.Lock()
-		g.store.Advance(boottime.Now())
-		g.store.Resolve(result)
-		effects = append(effects[1:], g.store.Take()...)
-		g.mu.Unlock()
-	}
-}
-
-// elected takes note of another leader. The caller holds the lock.
-func (g *Gate) elected(current lease.Lease, held bool) {
-	if current.Epoch != g.current.Epoch || current.Holder != g.current.Holder || held != (g.leader != nil) {
-		klog.InfoS("leader changed", "epoch", current.Epoch, "holder", current.Holder, "self", held)
-	}
-	g.current = current
-	g.metrics.epoch.Set(float64(current.Epoch))
-	g.metrics.leading.Set(flag(held))
-	if g.leader != nil && (!held || g.leader.epoch != current.Epoch) {
-		g.leader.end()
-		g.leader = nil
-	}
-	if held && g.leader == nil {
-		g.leader = newLeader(g, current.Epoch, g.elector.Guard())
-		go g.leader.run()
-	}
-}
-
-// leading returns the leader of this gate, or nil if another one leads.
-func (g *Gate) leading() *leader {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.leader
-}
-
-// valid reports whether no other gate can lead.
-func (g *Gate) valid() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.elector.Valid(boottime.Now())
-}
-
-// depose makes the gate look at the lease again.
-func (g *Gate) depose() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.elector.Depose(boottime.Now())
-}
-
 // redirect returns the word of a gate that does not lead.
 func (g *Gate) redirect() control.Word {
 	g.mu.Lock()
