--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -23,7 +23,7 @@
 	lateFactor = 3
 
 	// lossShare is how much work may be lost for an urgent job, against its own
-	// work: what is lost costs as much as what is done late earns less.
+	// work. The users price lost work, so a gain in time must cost little.
 	lossShare = 0.3
 
 	// leaveShare is the part of the idle workers, one in so many of all, that
