Start scheduled jobs by the time of day, and keep ages and run times over leaders

The encoding also dropped the milliseconds of the first due time. Jobs that were not due took a part of their account's guarantee. Two more things were lost with a leader: when a job was accepted, so that old jobs counted as new, and what tasks of a queue take.

Submission says when the job was accepted; work.Date has milliseconds. The row pace/queues keeps the run times that a leader learned.

Ruled out: the table's clock, which is steady and not the time of day.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,13 +58,26 @@
 		leader Leader
 		holder *configuration.Holder
 		config table.Key
+		clock  func() time.Time
 	}
+
+	// Option sets a field of an Entry.
+	Option func(*Entry)
 )
 
 // New returns an entry that stores jobs in a table and requires the row config
 // to be at the version that the holder has.
-func New(t table.Table, leader Leader, holder *configuration.Holder, config table.Key) *Entry {
-	return &Entry{table: t, leader: leader, holder: holder, config: config}
+func New(t table.Table, leader Leader, holder *configuration.Holder, config table.Key, options ...Option) *Entry {
+	e := &Entry{table: t, leader: leader, holder: holder, config: config, clock: time.Now}
+	for _, option := range options {
+		option(e)
+	}
+	return e
+}
+
+// WithClock sets what tells the time of day at which a job is accepted.
+func WithClock(clock func() time.Time) Option {
+	return func(e *Entry) { e.clock = clock }
 }
 
 // Submit stores a job. A job that is stored already is accepted again. The
@@ -74,6 +87,7 @@
 	value, err := cbor.Marshal(region.Submission{
 		Job: j, Pool: queue.Pool, Priority: queue.Priority,
 		Attempts: queue.Attempts, Stretch: queue.Stretch, Slack: queue.Slack,
+		Accepted: work.DateOf(e.clock()),
 	})
 	if err != nil {
 		return NotRun, err
--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -28,6 +28,10 @@
 	Cancelled State = "cancelled"
 )
 
+// maxAge is the longest time for which a job is taken to have waited before its
+// leader learned of it: more than any outage that leaves callers waiting.
+const maxAge = 10 * time.Minute
+
 type (
 	// State is how far a job is.
 	State string
@@ -40,6 +44,9 @@
 		Attempts int           `cbor:"4,keyasint,omitempty"`
 		Stretch  float64       `cbor:"5,keyasint,omitempty"`
 		Slack    time.Duration `cbor:"6,keyasint,omitempty"`
+
+		// Accepted is the time of day at which the gate took the job in.
+		Accepted work.Date `cbor:"7,keyasint,omitempty"`
 	}
 
 	job struct {
@@ -49,7 +56,8 @@
 		stored table.Version
 		state  State
 
-		// known is when this leader learned of the job.
+		// known is when a gate took the job in, or when this leader learned of it
+		// if the gate does not say.
 		known       time.Time
 		began       bool
 		occurrences []*occurrence
@@ -126,7 +134,7 @@
 	if _, ok := c.jobs[s.Job.ID]; ok {
 		return
 	}
-	j := &job{Submission: s, stored: stored, state: Queued, shown: Queued, known: now}
+	j := &job{Submission: s, stored: stored, state: Queued, shown: Queued, known: c.since(now, s.Accepted)}
 	j.row.key = RecordPrefix + table.Key(s.Job.ID)
 	c.jobs[s.Job.ID] = j
 	c.live = append(c.live, j)
@@ -140,6 +148,29 @@
 	c.advance(now, j)
 }
 
+// since returns when a job was taken in by the core's clock. Times of day that
+// can't be are clocks that are wrong.
+func (c *Core) since(now time.Time, accepted work.Date) time.Time {
+	if accepted == 0 {
+		return now
+	}
+	known := accepted.Time().Add(-c.day)
+	if known.After(now) || now.Sub(known) > maxAge {
+		return now
+	}
+	return known
+}
+
+// due returns when an occurrence is due by the core's clock. The zero time is at
+// once.
+func (c *Core) due(j *job, occurrence int) time.Time {
+	due := j.Job.Due(occurrence)
+	if due.IsZero() {
+		return due
+	}
+	return due.Add(-c.day)
+}
+
 // describe returns the shape of a job's first step, for the log.
 func describe(j work.Job) string {
 	if len(j.Steps) == 0 {
@@ -205,7 +236,7 @@
 		return
 	}
 	for n := len(j.occurrences); n < j.Job.Occurrences(); n++ {
-		due := j.Job.Due(n)
+		due := c.due(j, n)
 		if due.After(now) {
 			break
 		}
--- a/internal/region/pace.go
+++ b/internal/region/pace.go
@@ -4,7 +4,10 @@
 	"math"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
 const (
@@ -21,6 +24,10 @@
 
 	// paceMemory is how many run times a queue's statistics remember.
 	paceMemory = 50
+
+	// paceInterval is the shortest time between two writes of the paces: what is
+	// lost with a leader is few samples.
+	paceInterval = 2 * time.Second
 )
 
 type (
@@ -28,37 +35,40 @@
 	// declared. Declared times are far off, so the best guess lies between what
 	// is declared and what is usual, by how much each of them varies.
 	pace struct {
-		took, miss spread
+		Took spread `cbor:"1,keyasint"`
+		Miss spread `cbor:"2,keyasint"`
 	}
 
 	// spread is a running mean and variance of logarithms.
 	spread struct {
-		count, mean, square float64
+		Count  float64 `cbor:"1,keyasint"`
+		Mean   float64 `cbor:"2,keyasint"`
+		Square float64 `cbor:"3,keyasint"`
 	}
 )
 
 func (s *spread) add(value float64) {
-	s.count = min(s.count+1, paceMemory)
-	weight := 1 / s.count
-	delta := value - s.mean
-	s.mean += weight * delta
-	s.square += weight * (delta*(value-s.mean) - s.square)
+	s.Count = min(s.Count+1, paceMemory)
+	weight := 1 / s.Count
+	delta := value - s.Mean
+	s.Mean += weight * delta
+	s.Square += weight * (delta*(value-s.Mean) - s.Square)
 }
 
 // expected returns the run time of a task.
 func (c *Core) expected(j *job, s *step) time.Duration {
 	declared := s.spec.Estimate
 	p := c.paces[j.Job.Queue]
-	if p == nil || p.took.count < paceSamples {
+	if p == nil || p.Took.Count < paceSamples {
 		if declared <= 0 {
 			return defaultEstimate
 		}
 		return declared
 	}
-	guess := p.took.mean
+	guess := p.Took.Mean
 	if declared > 0 {
-		trust := p.took.square / max(p.took.square+p.miss.square, math.SmallestNonzeroFloat64)
-		guess += trust * (math.Log(declared.Seconds()) - p.miss.mean - p.took.mean)
+		trust := p.Took.Square / max(p.Took.Square+p.Miss.Square, math.SmallestNonzeroFloat64)
+		guess += trust * (math.Log(declared.Seconds()) - p.Miss.Mean - p.Took.Mean)
 	}
 	return time.Duration(math.Exp(guess) * float64(time.Second))
 }
@@ -120,8 +130,44 @@
 		p = &pace{}
 		c.paces[j.Job.Queue] = p
 	}
-	p.took.add(math.Log(took.Seconds()))
+	p.Took.add(math.Log(took.Seconds()))
+	c.learned++
 	if s.spec.Estimate > 0 {
-		p.miss.add(math.Log(s.spec.Estimate.Seconds() / took.Seconds()))
+		p.Miss.add(math.Log(s.spec.Estimate.Seconds() / took.Seconds()))
+	}
+}
+
+// savePaces adds the paces to a batch if they have changed and were not written
+// just now.
+func (c *Core) savePaces(b *Batch) {
+	if c.learned <= c.remembered || c.paceRow.unsure || c.now.Sub(c.paced) < paceInterval {
+		return
+	}
+	value, err := cbor.Marshal(c.paces)
+	if err != nil {
+		c.log(Line{Event: "paces not encoded", Outcome: err.Error()})
+		return
+	}
+	c.paced = c.now
+	b.learned, b.pace = c.learned, &c.paceRow
+	b.Txn.Checks = append(b.Txn.Checks, c.paceRow.check())
+	b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: c.paceRow.key, Value: value})
+}
+
+// recall takes in the paces that a former leader learned.
+func (c *Core) recall(row table.Row) {
+	if row.Key != PaceKey {
+		return
+	}
+	c.paceRow.version = row.Version
+	var paces map[work.QueueID]*pace
+	if err := cbor.Unmarshal(row.Value, &paces); err != nil {
+		c.log(Line{Event: "paces unreadable", Outcome: err.Error()})
+		return
+	}
+	for queue, p := range paces {
+		if p != nil {
+			c.paces[queue] = p
+		}
 	}
 }
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -28,6 +28,10 @@
 	// which the leader writes.
 	AgentPrefix table.Key = "agent/"
 
+	// PaceKey is the key of the row of what tasks usually take, which the leader
+	// writes.
+	PaceKey table.Key = "pace/queues"
+
 	// maxBatch is the largest number of rows in a transaction of the leader:
 	// with its checks it stays below the platform's bound of 100 entries.
 	maxBatch = 45
@@ -72,6 +76,10 @@
 		marks  []uint64
 		states []State
 		agents []*worker
+
+		// learned is how much of the paces the batch saves, 0 if none.
+		learned uint64
+		pace    *ownRow
 	}
 
 	// ownRow is what the leader knows of a row that it writes.
@@ -86,7 +94,10 @@
 )
 
 // Begin takes in the rows that a former leader and the gates left.
-func (c *Core) Begin(now time.Time, jobs, cancels, records, agents []table.Row) {
+func (c *Core) Begin(now time.Time, jobs, cancels, records, agents, paces []table.Row) {
+	for _, row := range paces {
+		c.recall(row)
+	}
 	for _, row := range agents {
 		w := c.newWorker(now, control.AgentID(row.Key[len(AgentPrefix):]))
 		w.row.version = row.Version
@@ -151,7 +162,7 @@
 			break
 		}
 		if n >= len(j.occurrences) {
-			j.occurrences = append(j.occurrences, newOccurrence(j, n, j.Job.Due(n)))
+			j.occurrences = append(j.occurrences, newOccurrence(j, n, c.due(j, n)))
 		}
 		for i, s := range j.occurrences[n].steps {
 			if record.Whole {
@@ -264,6 +275,7 @@
 	if len(b.Txn.Writes) == 0 {
 		return nil
 	}
+	c.savePaces(b)
 	c.saving = true
 	return b
 }
@@ -301,6 +313,7 @@
 		w.changing = false
 		c.plan = true
 	}
+	c.remembered = max(c.remembered, b.learned)
 	for i, j := range b.jobs {
 		j.saved = b.marks[i]
 		j.shown = b.states[i]
@@ -319,6 +332,9 @@
 	for _, j := range b.jobs {
 		rows = append(rows, &j.row)
 	}
+	if b.learned > 0 {
+		rows = append(rows, b.pace)
+	}
 	return rows
 }
 
@@ -360,5 +376,5 @@
 	for _, j := range c.live {
 		rows = append(rows, &j.row)
 	}
-	return rows
+	return append(rows, &c.paceRow)
 }
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -51,6 +51,9 @@
 		began    time.Time
 		settings *configuration.Configuration
 
+		// day is what makes a time of the core's clock the time of day.
+		day time.Duration
+
 		jobs    map[work.JobID]*job
 		live    []*job
 		workers map[control.AgentID]*worker
@@ -79,6 +82,15 @@
 		plan   bool
 		paces  map[work.QueueID]*pace
 
+		// paceRow is the row of the paces, last written at paced. Of the learned
+		// changes the remembered ones are durable.
+		paceRow             ownRow
+		learned, remembered uint64
+		paced               time.Time
+
+		// now is the time of the last tick.
+		now time.Time
+
 		// rooms are the capacities of the pools.
 		rooms map[work.PoolID]work.Resources
 		log   func(line Line)
@@ -106,13 +118,20 @@
 		config: config, epoch: epoch, guard: guard, began: now, early: early, settings: settings,
 		jobs:    make(map[work.JobID]*job),
 		workers: make(map[control.AgentID]*worker), cancelled: make(map[work.JobID]bool),
-		held:  make(map[work.TaskID]int),
-		paces: make(map[work.QueueID]*pace),
-		rooms: make(map[work.PoolID]work.Resources),
-		log:   func(Line) {},
+		held:    make(map[work.TaskID]int),
+		paces:   make(map[work.QueueID]*pace),
+		rooms:   make(map[work.PoolID]work.Resources),
+		paceRow: ownRow{key: PaceKey},
+		log:     func(Line) {},
 	}
 }
 
+// SetDay sets what is to be added to the times that the core is given to get the
+// time of day, by which callers say when their jobs are due.
+func (c *Core) SetDay(offset time.Duration) {
+	c.day = offset
+}
+
 // Configure takes a newer configuration.
 func (c *Core) Configure(settings *configuration.Configuration) {
 	if c.settings == nil || settings.Version > c.settings.Version {
@@ -124,6 +143,7 @@
 // Tick lets time pass: workers that were silent too long are lost, occurrences
 // become due, and waiting tasks are placed.
 func (c *Core) Tick(now time.Time) {
+	c.now = now
 	c.settle(now)
 	for _, w := range c.sorted() {
 		if !w.lost && now.After(w.expiry) {
--- a/internal/region/region_test.go
+++ b/internal/region/region_test.go
@@ -28,6 +28,7 @@
 	t      *testing.T
 	now    time.Time
 	core   *region.Core
+	day    time.Duration
 	table  *platform.Memory
 	serial map[control.AgentID]control.Serial
 	seq    uint64
@@ -61,13 +62,14 @@
 		b.t.Fatal(err)
 	}
 	b.core = region.New(b.now, epoch, table.Check{Key: guard, Version: version}, version, settings())
-	var sets [4][]table.Row
-	for i, prefix := range []table.Key{region.JobPrefix, region.CancelPrefix, region.RecordPrefix, region.AgentPrefix} {
+	b.core.SetDay(b.day)
+	var sets [5][]table.Row
+	for i, prefix := range []table.Key{region.JobPrefix, region.CancelPrefix, region.RecordPrefix, region.AgentPrefix, region.PaceKey} {
 		if sets[i], err = b.table.Scan(ctx, prefix, "", 1000); err != nil {
 			b.t.Fatal(err)
 		}
 	}
-	b.core.Begin(b.now, sets[0], sets[1], sets[2], sets[3])
+	b.core.Begin(b.now, sets[0], sets[1], sets[2], sets[3], sets[4])
 	clear(b.serial)
 }
 
--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -142,7 +142,7 @@
 	}
 	used := make(map[work.AccountID]int64)
 	for _, j := range c.live {
-		if j.over() || c.queue(j).Priority != 0 {
+		if j.over() || !j.active() || c.queue(j).Priority != 0 {
 			continue
 		}
 		need := j.accelerators()
@@ -154,6 +154,11 @@
 	return claims
 }
 
+// active reports whether an occurrence of the job is due and not done.
+func (j *job) active() bool {
+	return slices.ContainsFunc(j.occurrences, func(o *occurrence) bool { return !o.done })
+}
+
 // accelerators returns the most that a job uses at a time if its steps run one
 // after the other.
 func (j *job) accelerators() int64 {
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -16,6 +16,7 @@
 	"github.com/lovageroad/lovageroad/internal/region"
 	"github.com/lovageroad/lovageroad/internal/relay"
 	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/boottime"
 	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/table"
@@ -93,6 +94,9 @@
 		leader  *leader
 		elector *lease.Elector
 		store   *machine.Store
+
+		clock     sync.Mutex
+		timeOfDay boottime.Day
 	}
 )
 
@@ -103,7 +107,7 @@
 		leaving: make(chan struct{}), peers: config.Seeds, metrics: NewMetrics(),
 	}
 	g.table = relay.New(config.Service, g.client, g.others, g.logWay)
-	g.entry = entry.New(g.table, g, g.holder, config.Key)
+	g.entry = entry.New(g.table, g, g.holder, config.Key, entry.WithClock(g.today))
 	g.store = machine.NewStore()
 	g.elector = lease.NewElector(leaseKey, config.Node, g.store,
 		lease.WithTerm(term), lease.WithRenewal(renewal), lease.WithChanged(g.elected))
@@ -115,6 +119,18 @@
 	klog.InfoS("way to the table changed", "open", open, "reason", reason)
 }
 
+// day returns what is to be added to a boot time to get the time of day.
+func (g *Gate) day() time.Duration {
+	g.clock.Lock()
+	defer g.clock.Unlock()
+	return g.timeOfDay.Observe(boottime.Now(), time.Now())
+}
+
+// today returns the time of day.
+func (g *Gate) today() time.Time {
+	return boottime.Now().Add(g.day())
+}
+
 // Entry returns what accepts jobs.
 func (g *Gate) Entry() *entry.Entry { return g.entry }
 
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -82,6 +82,7 @@
 	if l.core == nil {
 		return
 	}
+	l.core.SetDay(l.gate.day())
 	change(boottime.Now(), l.core)
 	for id, p := range l.polls {
 		if l.core.Woken(id) {
@@ -100,10 +101,10 @@
 	for l.ctx.Err() == nil {
 		begun := boottime.Now()
 		var (
-			sets [4][]table.Row
+			sets [5][]table.Row
 			err  error
 		)
-		for i, prefix := range []table.Key{region.JobPrefix, region.CancelPrefix, region.RecordPrefix, region.AgentPrefix} {
+		for i, prefix := range []table.Key{region.JobPrefix, region.CancelPrefix, region.RecordPrefix, region.AgentPrefix, region.PaceKey} {
 			if err == nil {
 				sets[i], err = l.scan(prefix)
 			}
@@ -117,7 +118,8 @@
 		core := region.New(begun, l.epoch, l.guard, l.guard.Version, settings,
 			region.WithHold(l.gate.config.Hold), region.WithGang(l.gate.config.Gang))
 		core.WithLog(l.logLine)
-		core.Begin(boottime.Now(), sets[0], sets[1], sets[2], sets[3])
+		core.SetDay(l.gate.day())
+		core.Begin(boottime.Now(), sets[0], sets[1], sets[2], sets[3], sets[4])
 		l.mu.Lock()
 		l.core = core
 		l.mu.Unlock()
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -46,6 +46,9 @@
 	// Label is a property of a runner that a step may require.
 	Label string
 
+	// Date is a time of day in milliseconds since 1970.
+	Date int64
+
 	// Priority orders queues; 0 comes first.
 	Priority int
 
@@ -143,7 +146,7 @@
 		Repeats int `cbor:"6,keyasint,omitempty"`
 
 		// First and Interval say when each occurrence is due.
-		First    time.Time     `cbor:"7,keyasint,omitempty"`
+		First    Date          `cbor:"7,keyasint,omitempty"`
 		Interval time.Duration `cbor:"8,keyasint,omitempty"`
 	}
 
@@ -158,6 +161,16 @@
 	return e.Field + ": " + e.Reason
 }
 
+// DateOf returns a time as a date.
+func DateOf(t time.Time) Date {
+	return Date(t.UnixMilli())
+}
+
+// Time returns the date as a time.
+func (d Date) Time() time.Time {
+	return time.UnixMilli(int64(d))
+}
+
 // String returns the name of the step as callers and runners see it.
 func (s StepID) String() string {
 	return string(s.Job) + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
@@ -220,7 +233,7 @@
 	if j.Repeats <= 0 {
 		return time.Time{}
 	}
-	return j.First.Add(time.Duration(occurrence) * j.Interval)
+	return j.First.Time().Add(time.Duration(occurrence) * j.Interval)
 }
 
 // Scheduled reports whether the occurrences of the job have due times.
