Find a new leader within a second and a half, and count each failed run

After a kill of everything tasks waited 7.6 s for the agent of a runner that had drained and left meanwhile.

Change: a term of 1.2 s (was 2), renewals each 0.3 s. The new leader reads its rows side by side and tells the other gates; gates hold the reports of agents that look for a leader until they know one. The row of an agent whose runner drains goes with its last task.

Ruled out: ends that agents forgot; all were reported.

--- a/internal/control/call.go
+++ b/internal/control/call.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/lease"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
@@ -20,6 +21,7 @@
 	reportPath = "/lovageroad.v1.Control/Report"
 	askPath    = "/lovageroad.v1.Control/Ask"
 	storePath  = "/lovageroad.v1.Control/Store"
+	leadPath   = "/lovageroad.v1.Control/Lead"
 
 	// MaxMessage is the largest message in bytes: a page of the table.
 	MaxMessage = 8 << 20
@@ -50,6 +52,15 @@
 		Waiting int    `cbor:"4,keyasint,omitempty"`
 	}
 
+	// Claim says that a gate has begun to lead.
+	Claim struct {
+		Leader machine.Node `cbor:"1,keyasint"`
+		Epoch  lease.Epoch  `cbor:"2,keyasint"`
+	}
+
+	// Noted answers a Claim.
+	Noted struct{}
+
 	// StoreCall asks a gate to carry out one call of the table service for a
 	// process that can't reach it.
 	StoreCall struct {
@@ -81,6 +92,7 @@
 		Report(ctx context.Context, report Report) Word
 		Ask(ctx context.Context, question Question) Reply
 		Store(ctx context.Context, call StoreCall) StoreReply
+		Lead(ctx context.Context, claim Claim) Noted
 	}
 
 	// Client calls gates.
@@ -90,6 +102,7 @@
 		reports map[machine.Node]*connect.Client[Report, Word]
 		asks    map[machine.Node]*connect.Client[Question, Reply]
 		stores  map[machine.Node]*connect.Client[StoreCall, StoreReply]
+		claims  map[machine.Node]*connect.Client[Claim, Noted]
 	}
 
 	codec struct {
@@ -122,6 +135,7 @@
 	handle(mux, reportPath, s.Report)
 	handle(mux, askPath, s.Ask)
 	handle(mux, storePath, s.Store)
+	handle(mux, leadPath, s.Lead)
 	return mux
 }
 
@@ -146,6 +160,7 @@
 		reports: make(map[machine.Node]*connect.Client[Report, Word]),
 		asks:    make(map[machine.Node]*connect.Client[Question, Reply]),
 		stores:  make(map[machine.Node]*connect.Client[StoreCall, StoreReply]),
+		claims:  make(map[machine.Node]*connect.Client[Claim, Noted]),
 	}
 }
 
@@ -164,6 +179,12 @@
 	return call(ctx, c, c.stores, to, storePath, &request)
 }
 
+// Lead tells a gate who leads.
+func (c *Client) Lead(ctx context.Context, to machine.Node, claim Claim) error {
+	_, err := call(ctx, c, c.claims, to, leadPath, &claim)
+	return err
+}
+
 func call[Q, A any](ctx context.Context, c *Client, clients map[machine.Node]*connect.Client[Q, A], to machine.Node, path string, message *Q) (A, error) {
 	c.mu.Lock()
 	client := clients[to]
--- a/internal/region/end.go
+++ b/internal/region/end.go
@@ -1,6 +1,7 @@
 package region
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/control"
@@ -99,23 +100,28 @@
 	t.shun(w.id)
 	t.retry = now.Add(retryFailed)
 	c.touch(j)
-	failures := 0
-	switch {
-	case s.spec.Gang && e.Run > s.failed:
-		s.failed = e.Run
-		s.failures++
-		failures = s.failures
-	case !s.spec.Gang && e.Run > t.failed:
-		t.failed = e.Run
-		t.failures++
-		failures = t.failures
+	if s.spec.LongRunning {
+		return
+	}
+	failed := &t.failed
+	if s.spec.Gang {
+		failed = &s.failed
 	}
-	limit := c.queue(j).Attempts
-	if !s.spec.LongRunning && limit > 0 && failures >= limit {
+	if limit := c.queue(j).Attempts; failed.add(e.Run) && limit > 0 && len(*failed) >= limit {
 		c.finish(now, j, Failed)
 	}
 }
 
+// add takes note of a run that failed, and returns false if it was known. Runs on
+// several workers may become known in any order.
+func (f *failures) add(run work.Run) bool {
+	if slices.Contains(*f, run) {
+		return false
+	}
+	*f = append(*f, run)
+	return true
+}
+
 // note finds out which ends are durable.
 func (c *Core) note() {
 	for _, w := range c.workers {
--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -82,15 +82,19 @@
 	}
 
 	step struct {
-		id       work.StepID
-		spec     *work.Step
-		tasks    []task
-		done     int
-		ready    time.Time
-		failures int
-		failed   work.Run
+		id    work.StepID
+		spec  *work.Step
+		tasks []task
+		done  int
+		ready time.Time
+
+		// failed are the runs of a gang that failed.
+		failed failures
 	}
 
+	// failures are runs that failed, as often as the queue allows.
+	failures []work.Run
+
 	task struct {
 		done bool
 
@@ -104,8 +108,7 @@
 		// serial is the word that carries the order, 0 before it is sent.
 		serial control.Serial
 
-		failures   int
-		failed     work.Run
+		failed     failures
 		checkpoint work.Checkpoint
 		percent    int
 		retry      time.Time
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -54,16 +54,14 @@
 	// StepRecord is how far a step is.
 	StepRecord struct {
 		// Done has a bit for each task.
-		Done     []byte             `cbor:"1,keyasint,omitempty"`
-		Failures int                `cbor:"2,keyasint,omitempty"`
-		Failed   work.Run           `cbor:"3,keyasint,omitempty"`
-		Tasks    map[int]TaskRecord `cbor:"4,keyasint,omitempty"`
+		Done   []byte             `cbor:"1,keyasint,omitempty"`
+		Failed []work.Run         `cbor:"2,keyasint,omitempty"`
+		Tasks  map[int]TaskRecord `cbor:"4,keyasint,omitempty"`
 	}
 
 	// TaskRecord is what is kept of a task that is not done.
 	TaskRecord struct {
-		Failures   int             `cbor:"1,keyasint,omitempty"`
-		Failed     work.Run        `cbor:"2,keyasint,omitempty"`
+		Failed     []work.Run      `cbor:"2,keyasint,omitempty"`
 		Checkpoint work.Checkpoint `cbor:"3,keyasint,omitempty"`
 	}
 
@@ -190,7 +188,7 @@
 }
 
 func (s *step) restore(r StepRecord) {
-	s.failures, s.failed = r.Failures, r.Failed
+	s.failed = r.Failed
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if i/8 < len(r.Done) && r.Done[i/8]&(1<<(i%8)) != 0 {
@@ -198,7 +196,7 @@
 			s.done++
 		}
 		kept := r.Tasks[i]
-		t.failures, t.failed, t.checkpoint = kept.Failures, kept.Failed, kept.Checkpoint
+		t.failed, t.checkpoint = kept.Failed, kept.Checkpoint
 	}
 }
 
@@ -221,7 +219,7 @@
 }
 
 func (s *step) record() StepRecord {
-	r := StepRecord{Failures: s.failures, Failed: s.failed}
+	r := StepRecord{Failed: s.failed}
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.done {
@@ -231,11 +229,11 @@
 			r.Done[i/8] |= 1 << (i % 8)
 			continue
 		}
-		if t.failures > 0 || t.checkpoint != "" {
+		if len(t.failed) > 0 || t.checkpoint != "" {
 			if r.Tasks == nil {
 				r.Tasks = make(map[int]TaskRecord)
 			}
-			r.Tasks[i] = TaskRecord{Failures: t.failures, Failed: t.failed, Checkpoint: t.checkpoint}
+			r.Tasks[i] = TaskRecord{Failed: t.failed, Checkpoint: t.checkpoint}
 		}
 	}
 	return r
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/region"
 	"github.com/lovageroad/lovageroad/internal/work"
 )
 
@@ -166,3 +167,58 @@
 		}
 	}
 }
+
+// TestTakeoverAfterDrain has a runner drain, end its last task and vanish with
+// its agent. A later leader must not wait for it before it starts what was
+// accepted earlier; while the task runs, it must.
+func TestTakeoverAfterDrain(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		b := newBed(t)
+		b.join("a")
+		b.submit(gpuJob("j0", 1, 8))
+		b.report("a", nil)
+		b.join("b")
+		b.report("a", func(r *control.Report) {
+			r.Runner.Draining = true
+			if ended {
+				r.Ends = []control.End{{N: 1, Task: taskOf("j0", 0), Run: b.run[taskOf("j0", 0)], Outcome: control.Done}}
+			} else {
+				b.holding("a")(r)
+			}
+		})
+		b.save()
+		b.submit(gpuJob("j1", 1, 8))
+		b.lead(2)
+		b.report("b", nil)
+		b.save()
+		if got := len(b.report("b", nil).Starts); got != map[bool]int{false: 0, true: 1}[ended] {
+			t.Errorf("last task ended %v: %d starts", ended, got)
+		}
+	}
+}
+
+// TestFailuresOutOfOrder has two runs of a task fail under a leader that makes
+// neither durable. The next one hears of the later one first; both must count
+// towards the attempts of the job, and none of them twice.
+func TestFailuresOutOfOrder(t *testing.T) {
+	b := newBed(t)
+	b.join("a")
+	b.join("b")
+	b.submit(gpuJob("j1", 1, 8))
+	b.lead(3)
+	failed := func(n control.EndID, run work.Run) func(*control.Report) {
+		return func(r *control.Report) {
+			r.Ends = []control.End{{N: n, Task: taskOf("j1", 0), Run: run, Outcome: control.Failed}}
+		}
+	}
+	b.report("a", failed(1, 2))
+	b.report("a", failed(1, 2))
+	if state, _ := b.core.State("j1"); state == region.Failed {
+		t.Fatal("one failure was counted twice")
+	}
+	b.report("b", failed(1, 1))
+	b.save()
+	if state, _ := b.core.State("j1"); state != region.Failed {
+		t.Errorf("state %q after two failures of two attempts, want %q", state, region.Failed)
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -100,9 +100,11 @@
 	return w.row.version != table.Absent
 }
 
-// runs reports whether something may run on the worker.
+// runs reports whether something may run on the worker. Nothing starts on one
+// that drains, so that it is done with when the last task has ended.
 func (w *worker) runs() bool {
-	return !w.lost && !w.dark
+	drained := w.runner != nil && w.runner.Draining && len(w.held) == 0
+	return !w.lost && !w.dark && !drained
 }
 
 // Report takes in what an agent knows. It returns false if the report is older
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -26,8 +26,8 @@
 
 	// maxPolls bounds the reports under way, and maxSearches those while no
 	// leader is known.
-	maxPolls    = 3
-	maxSearches = 2
+	maxPolls    = 4
+	maxSearches = 3
 
 	// askAgain is the wait before a runner that did not answer is asked again.
 	askAgain = 200 * time.Millisecond
@@ -75,6 +75,7 @@
 	if call.To == c.leader {
 		c.leader = ""
 		c.lost, c.lostAt = call.To, now
+		c.turn = max(slices.Index(c.gates, call.To), 0)
 		c.log("leader lost", "leader", call.To, "epoch", c.epoch)
 	}
 	c.report = true
--- a/internal/serve/election.go
+++ b/internal/serve/election.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/loop"
 	"github.com/lovageroad/lovageroad/pkg/boottime"
 	"github.com/lovageroad/lovageroad/pkg/lease"
@@ -60,6 +62,10 @@
 	if current.Epoch != g.current.Epoch || current.Holder != g.current.Holder || held != (g.leader != nil) {
 		klog.InfoS("leader changed", "epoch", current.Epoch, "holder", current.Holder, "self", held)
 	}
+	if current.Epoch != g.current.Epoch {
+		close(g.changed)
+		g.changed = make(chan struct{})
+	}
 	g.current = current
 	g.metrics.epoch.Set(float64(current.Epoch))
 	g.metrics.leading.Set(flag(held))
@@ -70,7 +76,24 @@
 	if held && g.leader == nil {
 		g.leader = newLeader(g, current.Epoch, g.elector.Guard())
 		go g.leader.run()
+		go g.proclaim(control.Claim{Leader: g.config.Node, Epoch: current.Epoch})
+	}
+}
+
+// proclaim tells all other gates that this one leads, so that agents need not
+// wait until each has read the lease.
+func (g *Gate) proclaim(claim control.Claim) {
+	ctx, cancel := context.WithTimeout(g.ctx, askTimeout)
+	defer cancel()
+	var calls sync.WaitGroup
+	for _, peer := range g.others() {
+		calls.Go(func() {
+			if err := g.client.Lead(ctx, peer, claim); err != nil {
+				klog.V(1).InfoS("gate not told of its leader", "gate", peer, "reason", err)
+			}
+		})
 	}
+	calls.Wait()
 }
 
 // leading returns the leader of this gate, or nil if another one leads.
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -30,17 +30,17 @@
 	leaseKey table.Key = "lease/leader"
 
 	// term is how long the leader is silent before another gate takes over.
-	term = 2 * time.Second
+	term = 1200 * time.Millisecond
 
 	// renewal is the time between two renewals, four in a term.
-	renewal = 500 * time.Millisecond
+	renewal = 300 * time.Millisecond
 
 	// electorTick is the time between two looks at the lease.
 	electorTick = 100 * time.Millisecond
 
 	// storeTimeout bounds a call of the elector: below the term, so that a
 	// renewal without an answer is tried again in time.
-	storeTimeout = 900 * time.Millisecond
+	storeTimeout = 600 * time.Millisecond
 
 	// feedWait is how long the table waits for a change. Each answer confirms
 	// the configuration, so that it bounds its age too.
@@ -91,6 +91,9 @@
 		mu      sync.Mutex
 		peers   []machine.Node
 		current lease.Lease
+
+		// changed is closed when another leader is known.
+		changed chan struct{}
 		leader  *leader
 		elector *lease.Elector
 		store   *machine.Store
@@ -104,7 +107,7 @@
 func NewGate(config GateConfig) *Gate {
 	g := &Gate{
 		config: config, client: control.NewClient(), holder: configuration.NewHolder(),
-		leaving: make(chan struct{}), peers: config.Seeds, metrics: NewMetrics(),
+		leaving: make(chan struct{}), changed: make(chan struct{}), peers: config.Seeds, metrics: NewMetrics(),
 	}
 	g.table = relay.New(config.Service, g.client, g.others, g.logWay)
 	g.entry = entry.New(g.table, g, g.holder, config.Key, entry.WithClock(g.today))
@@ -228,6 +231,12 @@
 
 // Report answers an agent.
 func (g *Gate) Report(ctx context.Context, report control.Report) control.Word {
+	if l := g.leading(); l != nil {
+		if word, ok := l.report(ctx, report); ok {
+			return word
+		}
+	}
+	g.await(ctx, report)
 	if l := g.leading(); l != nil {
 		if word, ok := l.report(ctx, report); ok {
 			return word
@@ -236,6 +245,32 @@
 	return g.redirect()
 }
 
+// await holds the report of an agent that looks for another leader than this
+// gate knows, so that the agent learns of it at once.
+func (g *Gate) await(ctx context.Context, report control.Report) {
+	g.mu.Lock()
+	changed, newer := g.changed, g.current.Epoch > report.Epoch
+	g.mu.Unlock()
+	if newer {
+		return
+	}
+	timer := time.NewTimer(report.Wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Lead takes note of another leader.
+func (g *Gate) Lead(_ context.Context, claim control.Claim) control.Noted {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.elector.Observe(boottime.Now(), lease.Lease{Holder: claim.Leader, Epoch: claim.Epoch})
+	return control.Noted{}
+}
+
 // Ask answers a question of another gate.
 func (g *Gate) Ask(_ context.Context, question control.Question) control.Reply {
 	l := g.leading()
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -32,6 +32,9 @@
 	ctx   context.Context
 	end   context.CancelFunc
 
+	// loaded is closed when the core is there.
+	loaded chan struct{}
+
 	mu    sync.Mutex
 	core  *region.Core
 	polls map[control.AgentID]poll
@@ -48,7 +51,7 @@
 	ctx, end := context.WithCancel(g.ctx)
 	return &leader{
 		gate: g, epoch: epoch, guard: guard, ctx: ctx, end: end,
-		polls: make(map[control.AgentID]poll), dirty: make(chan struct{}, 1),
+		polls: make(map[control.AgentID]poll), dirty: make(chan struct{}, 1), loaded: make(chan struct{}),
 	}
 }
 
@@ -100,15 +103,7 @@
 func (l *leader) load() (table.Version, bool) {
 	for l.ctx.Err() == nil {
 		begun := boottime.Now()
-		var (
-			sets [5][]table.Row
-			err  error
-		)
-		for i, prefix := range []table.Key{region.JobPrefix, region.CancelPrefix, region.RecordPrefix, region.AgentPrefix, region.PaceKey} {
-			if err == nil {
-				sets[i], err = l.scan(prefix)
-			}
-		}
+		sets, err := l.scanAll(region.JobPrefix, region.CancelPrefix, region.RecordPrefix, region.AgentPrefix, region.PaceKey)
 		settings, _ := l.gate.holder.Current()
 		if err != nil || settings == nil {
 			klog.InfoS("region not loaded", "epoch", l.epoch, "reason", err)
@@ -123,6 +118,7 @@
 		l.mu.Lock()
 		l.core = core
 		l.mu.Unlock()
+		close(l.loaded)
 		klog.InfoS("leading", "epoch", l.epoch, "jobs", len(sets[0]), "agents", len(sets[3]), "took", boottime.Now().Sub(begun))
 		return l.guard.Version, true
 	}
@@ -134,6 +130,20 @@
 	klog.InfoS(line.Event, line.Pairs()...)
 }
 
+// scanAll reads all rows with each of the prefixes, side by side. The guard keeps
+// the former leader from writing meanwhile, and what gates write comes again with
+// the changes.
+func (l *leader) scanAll(prefixes ...table.Key) ([][]table.Row, error) {
+	sets := make([][]table.Row, len(prefixes))
+	failures := make([]error, len(prefixes))
+	var scans sync.WaitGroup
+	for i, prefix := range prefixes {
+		scans.Go(func() { sets[i], failures[i] = l.scan(prefix) })
+	}
+	scans.Wait()
+	return sets, errors.Join(failures...)
+}
+
 // scan reads all rows with a prefix.
 func (l *leader) scan(prefix table.Key) ([]table.Row, error) {
 	var rows []table.Row
@@ -273,6 +283,9 @@
 // report takes in a report and answers it when there are orders, or after the
 // time that it may wait. It returns false if this gate does not lead.
 func (l *leader) report(ctx context.Context, report control.Report) (control.Word, bool) {
+	if !l.ready(ctx, report.Wait) {
+		return control.Word{}, false
+	}
 	var p poll
 	urgent := true
 	l.act(func(now time.Time, core *region.Core) {
@@ -304,6 +317,20 @@
 	return word, true
 }
 
+// ready waits until the core is there. It returns false if that takes too long.
+func (l *leader) ready(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-l.loaded:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-l.ctx.Done():
+	}
+	return false
+}
+
 // await waits for orders, for a newer report of the agent, or for the time to
 // pass.
 func (l *leader) await(ctx context.Context, report control.Report, p poll) {
