--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -51,17 +51,19 @@
 		Steps []StepRecord `cbor:"2,keyasint,omitempty"`
 	}
 
-	// StepRecord is how far a step is.
+	// StepRecord is how far a step is. Keys 2 and 3 were those of an earlier
+	// release; gates of both may run side by side during an update.
 	StepRecord struct {
 		// Done has a bit for each task.
 		Done   []byte             `cbor:"1,keyasint,omitempty"`
-		Failed []work.Run         `cbor:"2,keyasint,omitempty"`
+		Failed []work.Run         `cbor:"5,keyasint,omitempty"`
 		Tasks  map[int]TaskRecord `cbor:"4,keyasint,omitempty"`
 	}
 
-	// TaskRecord is what is kept of a task that is not done.
+	// TaskRecord is what is kept of a task that is not done. Keys 1 and 2 were
+	// those of an earlier release.
 	TaskRecord struct {
-		Failed     []work.Run      `cbor:"2,keyasint,omitempty"`
+		Failed     []work.Run      `cbor:"4,keyasint,omitempty"`
 		Checkpoint work.Checkpoint `cbor:"3,keyasint,omitempty"`
 	}
 
@@ -108,6 +110,7 @@
 		id := work.JobID(row.Key[len(RecordPrefix):])
 		if err := cbor.Unmarshal(row.Value, &r); err != nil {
 			c.log(Line{Event: "record unreadable", Job: id, Outcome: err.Error()})
+			c.barred[id] = true
 			continue
 		}
 		byJob[id] = r
@@ -135,7 +138,7 @@
 		return
 	}
 	id, ok := cut(row.Key, JobPrefix)
-	if !ok || row.Value == nil {
+	if !ok || row.Value == nil || c.barred[work.JobID(id)] {
 		return
 	}
 	var s Submission
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -67,6 +67,10 @@
 		// cancelled are jobs that are not known yet.
 		cancelled map[work.JobID]bool
 
+		// barred are jobs whose records can't be read: what they have done is not
+		// known, so that nothing of them may start.
+		barred map[work.JobID]bool
+
 		// settled says that nothing runs that this leader does not know of.
 		settled bool
 
@@ -118,6 +122,7 @@
 		config: config, epoch: epoch, guard: guard, began: now, early: early, settings: settings,
 		jobs:    make(map[work.JobID]*job),
 		workers: make(map[control.AgentID]*worker), cancelled: make(map[work.JobID]bool),
+		barred:  make(map[work.JobID]bool),
 		held:    make(map[work.TaskID]int),
 		paces:   make(map[work.QueueID]*pace),
 		rooms:   make(map[work.PoolID]work.Resources),
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -1,12 +1,16 @@
 package region_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/region"
 	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
 // pass lets time pass while the given agents report.
@@ -222,3 +226,71 @@
 		t.Errorf("state %q after two failures of two attempts, want %q", state, region.Failed)
 	}
 }
+
+// TestUnreadableRecord has a leader of another release leave a record that this
+// one can't read. What the job has done is not known, so nothing of it may start.
+func TestUnreadableRecord(t *testing.T) {
+	b := newBed(t)
+	b.join("a")
+	b.submit(gpuJob("j1", 1, 8))
+	b.report("a", nil)
+	b.report("a", func(r *control.Report) {
+		r.Ends = []control.End{{N: 1, Task: taskOf("j1", 0), Run: b.run[taskOf("j1", 0)], Outcome: control.Done}}
+	})
+	b.save()
+	key := region.RecordPrefix + "j1"
+	if _, err := b.table.Commit(context.Background(), table.Txn{Writes: []table.Write{{Key: key, Value: []byte("{}")}}}); err != nil {
+		t.Fatal(err)
+	}
+	b.lead(2)
+	b.report("a", nil)
+	b.save()
+	if word := b.report("a", nil); len(word.Starts) != 0 {
+		t.Errorf("starts %v", word.Starts)
+	}
+	if state, known := b.core.State("j1"); known {
+		t.Errorf("state %q of a job that can't be told", state)
+	}
+}
+
+// TestRecordOfFormerRelease has a leader of the former release leave a record.
+func TestRecordOfFormerRelease(t *testing.T) {
+	type task struct {
+		Failures   int             `cbor:"1,keyasint,omitempty"`
+		Failed     work.Run        `cbor:"2,keyasint,omitempty"`
+		Checkpoint work.Checkpoint `cbor:"3,keyasint,omitempty"`
+	}
+	type step struct {
+		Done     []byte       `cbor:"1,keyasint,omitempty"`
+		Failures int          `cbor:"2,keyasint,omitempty"`
+		Failed   work.Run     `cbor:"3,keyasint,omitempty"`
+		Tasks    map[int]task `cbor:"4,keyasint,omitempty"`
+	}
+	type occurrence struct {
+		Whole bool   `cbor:"1,keyasint,omitempty"`
+		Steps []step `cbor:"2,keyasint,omitempty"`
+	}
+	type record struct {
+		State       region.State `cbor:"1,keyasint"`
+		Occurrences []occurrence `cbor:"2,keyasint,omitempty"`
+	}
+	b := newBed(t)
+	b.join("a")
+	b.submit(gpuJob("j1", 2, 4))
+	former := step{Done: []byte{1}, Tasks: map[int]task{1: {Failures: 1, Failed: 7, Checkpoint: "c"}}}
+	value, err := cbor.Marshal(record{State: region.Running, Occurrences: []occurrence{{Steps: []step{former}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	txn := table.Txn{Writes: []table.Write{{Key: region.RecordPrefix + "j1", Value: value}}}
+	if _, err := b.table.Commit(context.Background(), txn); err != nil {
+		t.Fatal(err)
+	}
+	b.lead(2)
+	b.report("a", nil)
+	b.save()
+	word := b.report("a", nil)
+	if len(word.Starts) != 1 || word.Starts[0].Task != taskOf("j1", 1) || word.Starts[0].Checkpoint != "c" {
+		t.Errorf("starts %v, want the second task only", word.Starts)
+	}
+}
