Remove the rows of jobs long after their end, and of gates that have left

Cause: nothing removed old rows. A new leader reads all of them before it leads, and detours to the table try gates that left for good.

Change: the leader removes the rows of a job ten minutes after its end, each only at the version that it knows; gates write their rows each minute, and take away those that have not changed for five.

Ruled out: removal when the job ends. States are to be told for two minutes, and a copy of a submission may arrive after the answer; it must find the row.

--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -64,6 +64,9 @@
 		finished    int
 		ended       time.Time
 
+		// revoked says that there is a row of the job's cancellation.
+		revoked bool
+
 		// changed and saved count the changes of the record and those of them
 		// that are durable; shown is the durable state.
 		changed, saved uint64
@@ -145,6 +148,7 @@
 	c.log(Line{Event: "job admitted", Job: s.Job.ID, Detail: describe(s.Job), Count: len(s.Job.Steps)})
 	if c.cancelled[s.Job.ID] {
 		delete(c.cancelled, s.Job.ID)
+		j.revoked = true
 		c.finish(now, j, Cancelled)
 		return
 	}
@@ -189,10 +193,12 @@
 // it comes, since jobs and cancellations are read side by side.
 func (c *Core) Cancel(now time.Time, id work.JobID) {
 	j, ok := c.jobs[id]
-	switch {
-	case !ok:
+	if !ok {
 		c.cancelled[id] = true
-	case !j.over():
+		return
+	}
+	j.revoked = true
+	if !j.over() {
 		c.finish(now, j, Cancelled)
 	}
 }
@@ -319,7 +325,11 @@
 // prune takes ended jobs off the list of live ones when their end is durable.
 func (c *Core) prune() {
 	c.live = slices.DeleteFunc(c.live, func(j *job) bool {
-		return j.over() && j.saved >= j.changed
+		durable := j.over() && j.saved >= j.changed
+		if durable {
+			c.past = append(c.past, j)
+		}
+		return durable
 	})
 }
 
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -80,6 +80,9 @@
 		// learned is how much of the paces the batch saves, 0 if none.
 		learned uint64
 		pace    *ownRow
+
+		// expired are ended jobs whose rows the batch removes.
+		expired []*job
 	}
 
 	// ownRow is what the leader knows of a row that it writes.
@@ -256,7 +259,7 @@
 		b.agents = append(b.agents, w)
 		b.Txn.Checks = append(b.Txn.Checks, w.row.check())
 		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: w.row.key, Value: []byte{}, Delete: !w.runs()})
-		w.changing = true
+		w.changing, w.recording = true, w.runs()
 	}
 	for _, j := range c.live {
 		if j.saved >= j.changed || j.row.unsure || len(b.Txn.Writes) >= maxBatch {
@@ -273,6 +276,7 @@
 		b.Txn.Checks = append(b.Txn.Checks, j.row.check())
 		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: j.row.key, Value: value})
 	}
+	c.expire(b)
 	if len(b.Txn.Writes) == 0 {
 		return nil
 	}
@@ -293,6 +297,9 @@
 		for _, row := range b.rows() {
 			row.unsure = conflict != nil
 		}
+		if conflict != nil {
+			c.forget(b, false)
+		}
 		if !c.behind {
 			c.behind = true
 			c.log(Line{Event: "records not written", Outcome: err.Error(), Count: len(b.Txn.Writes)})
@@ -303,13 +310,15 @@
 		c.behind = false
 		c.log(Line{Event: "records written again", Count: len(b.Txn.Writes)})
 	}
-	for i, write := range b.Txn.Writes {
-		row := b.rows()[i]
+	for _, row := range b.rows() {
 		row.version = version
-		if write.Delete {
-			row.version = table.Absent
+	}
+	for _, w := range b.agents {
+		if !w.recording {
+			w.row.version = table.Absent
 		}
 	}
+	c.forget(b, true)
 	for _, w := range b.agents {
 		w.changing = false
 		c.plan = true
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -38,6 +38,9 @@
 
 		// Gang is how long a member of a gang waits for the others.
 		Gang time.Duration
+
+		// Retention is how long the rows of a job are kept after its end.
+		Retention time.Duration
 	}
 
 	// Option sets a field of a Config.
@@ -54,8 +57,11 @@
 		// day is what makes a time of the core's clock the time of day.
 		day time.Duration
 
-		jobs    map[work.JobID]*job
-		live    []*job
+		jobs map[work.JobID]*job
+		live []*job
+
+		// past are jobs whose ends are durable, the first to end first.
+		past    []*job
 		workers map[control.AgentID]*worker
 
 		// held counts the workers on which a task takes room.
@@ -114,7 +120,7 @@
 // New returns the core of a leader that begins an epoch. The guard fails once
 // another epoch has begun; early is the table's version at that time.
 func New(now time.Time, epoch lease.Epoch, guard table.Check, early table.Version, settings *configuration.Configuration, options ...Option) *Core {
-	config := Config{Hold: 6 * time.Second, Answer: 1500 * time.Millisecond, Retry: 300 * time.Millisecond, Gang: 3 * time.Second}
+	config := Config{Hold: 6 * time.Second, Answer: 1500 * time.Millisecond, Retry: 300 * time.Millisecond, Gang: 3 * time.Second, Retention: DefaultRetention}
 	for _, option := range options {
 		option(&config)
 	}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -28,8 +28,9 @@
 		// on the worker before the row is there; it goes when nothing runs any more.
 		row ownRow
 
-		// changing says that a write of the row may be under way.
-		changing bool
+		// changing says that a write of the row may be under way, and recording that
+		// it adds the row or keeps it.
+		changing, recording bool
 
 		// unheard says that a former leader knew the agent and that it has not
 		// reported to this one yet: it may run anything until the hold has
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -23,9 +23,6 @@
 )
 
 const (
-	// gatePrefix begins the keys of the rows by which gates find each other.
-	gatePrefix table.Key = "gate/"
-
 	// leaseKey is the row of the right to lead.
 	leaseKey table.Key = "lease/leader"
 
@@ -49,9 +46,6 @@
 	// retryPause is the wait after a call of the table that failed.
 	retryPause = 100 * time.Millisecond
 
-	// memberPause is the time between two looks for other gates.
-	memberPause = 3 * time.Second
-
 	// askTimeout bounds a question to the leader, before the table is asked.
 	askTimeout = 400 * time.Millisecond
 
@@ -191,37 +185,6 @@
 	}
 }
 
-// meet announces the gate and finds the others.
-func (g *Gate) meet() {
-	written := false
-	for g.ctx.Err() == nil {
-		if !written {
-			key := gatePrefix + table.Key(g.config.Node)
-			_, err := g.table.Commit(g.ctx, table.Txn{Writes: []table.Write{{Key: key, Value: []byte{}}}})
-			written = err == nil
-		}
-		rows, err := g.table.Scan(g.ctx, gatePrefix, "", scanPage)
-		if err == nil {
-			g.mu.Lock()
-			g.peers = nodes(rows)
-			g.mu.Unlock()
-		}
-		wait := memberPause
-		if !written || err != nil {
-			wait = retryPause
-		}
-		g.pause(wait)
-	}
-}
-
-func nodes(rows []table.Row) []machine.Node {
-	found := make([]machine.Node, 0, len(rows))
-	for _, row := range rows {
-		found = append(found, machine.Node(row.Key[len(gatePrefix):]))
-	}
-	return found
-}
-
 // redirect returns the word of a gate that does not lead.
 func (g *Gate) redirect() control.Word {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/serve/members_test.go
@@ -0,0 +1,26 @@
+package serve_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/serve"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+// TestRoster has one gate announce itself each minute and another one leave. The
+// row of the one that left is stale after five minutes, and no other.
+func TestRoster(t *testing.T) {
+	var roster serve.Roster
+	start := time.Unix(1000, 0)
+	for minute := range 10 {
+		rows := []table.Row{{Key: "gate/a", Version: table.Version(100 + minute)}, {Key: "gate/b", Version: 7}}
+		stale := roster.Observe(start.Add(time.Duration(minute)*time.Minute), rows)
+		if minute < 5 && len(stale) != 0 {
+			t.Errorf("minute %d: %v is stale", minute, stale)
+		}
+		if minute >= 5 && (len(stale) != 1 || stale[0].Key != "gate/b") {
+			t.Errorf("minute %d: %v is stale, want the row of b", minute, stale)
+		}
+	}
+}
