Leave the lead to gates on stronger VMs

Change: gates say in their rows what processor they have. One with less than three quarters of the most waits for one look at the lease more. pkg/lease has WithHandicap for it (TestHandicap). No handover: a row may outlive a strong gate, and weak ones would pass the lead round.

--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -66,6 +67,10 @@
 		Decode  Decoder
 		Hold    time.Duration
 		Gang    time.Duration
+
+		// Processor is what the gate may use, 0 if that is not known. Gates that
+		// have much less than others lead only if no other one does.
+		Processor work.Millicores
 	}
 
 	// Gate is the process of an entry VM: it accepts jobs, and leads the region
@@ -92,6 +97,9 @@
 		elector *lease.Elector
 		store   *machine.Store
 
+		// strongest is the most processor that another gate has, in millicores.
+		strongest atomic.Int64
+
 		clock     sync.Mutex
 		timeOfDay boottime.Day
 	}
@@ -107,7 +115,8 @@
 	g.entry = entry.New(g.table, g, g.holder, config.Key, entry.WithClock(g.today))
 	g.store = machine.NewStore()
 	g.elector = lease.NewElector(leaseKey, config.Node, g.store,
-		lease.WithTerm(term), lease.WithRenewal(renewal), lease.WithChanged(g.elected))
+		lease.WithTerm(term), lease.WithRenewal(renewal), lease.WithChanged(g.elected),
+		lease.WithHandicap(g.handicap))
 	return g
 }
 
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"k8s.io/klog/v2"
 
+	"github.com/lovageroad/lovageroad/internal/work"
 	"github.com/lovageroad/lovageroad/pkg/boottime"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/table"
@@ -24,6 +26,10 @@
 	// it away: several announcements, so that a table that is away for a while
 	// costs no gate its row.
 	staleAfter = 5 * announceInterval
+
+	// weakShare is the part of another gate's processor below which a gate leaves
+	// the lead to it: a leader on a VM that is a little smaller serves as well.
+	weakShare = 0.75
 )
 
 // Roster tells which rows of gates have not changed for long: those of gates that
@@ -32,6 +38,11 @@
 	seen map[table.Key]sighting
 }
 
+// announcement is the value of a gate's row.
+type announcement struct {
+	Processor work.Millicores `cbor:"1,keyasint,omitempty"`
+}
+
 // sighting is a version of a row and when it was first seen.
 type sighting struct {
 	version table.Version
@@ -79,6 +90,7 @@
 			g.mu.Lock()
 			g.peers = nodes(rows)
 			g.mu.Unlock()
+			g.strongest.Store(int64(strongest(rows)))
 			g.sweep(roster.Observe(now, rows))
 		}
 		wait := memberPause
@@ -92,7 +104,10 @@
 // announce writes the row by which the others find this gate.
 func (g *Gate) announce() bool {
 	key := gatePrefix + table.Key(g.config.Node)
-	_, err := g.table.Commit(g.ctx, table.Txn{Writes: []table.Write{{Key: key, Value: []byte{}}}})
+	value, err := cbor.Marshal(announcement{Processor: g.config.Processor})
+	if err == nil {
+		_, err = g.table.Commit(g.ctx, table.Txn{Writes: []table.Write{{Key: key, Value: value}}})
+	}
 	if err != nil {
 		klog.V(1).InfoS("gate not announced", "reason", err)
 	}
@@ -110,6 +125,28 @@
 	}
 }
 
+// strongest returns the most processor that a gate has by the rows. Rows of an
+// earlier release say nothing of it.
+func strongest(rows []table.Row) work.Millicores {
+	most := work.Millicores(0)
+	for _, row := range rows {
+		var a announcement
+		if err := cbor.Unmarshal(row.Value, &a); err == nil {
+			most = max(most, a.Processor)
+		}
+	}
+	return most
+}
+
+// handicap tells how much longer than others this gate leaves the lead, if it is
+// free: long enough for one look at the lease more.
+func (g *Gate) handicap() time.Duration {
+	if float64(g.config.Processor) >= weakShare*float64(g.strongest.Load()) {
+		return 0
+	}
+	return renewal
+}
+
 func nodes(rows []table.Row) []machine.Node {
 	found := make([]machine.Node, 0, len(rows))
 	for _, row := range rows {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -49,6 +49,10 @@
 		Term    time.Duration
 		Renewal time.Duration
 		Changed func(current Lease, held bool)
+
+		// Handicap tells how much longer than others the node leaves a lease that
+		// is free.
+		Handicap func() time.Duration
 	}
 
 	// Option sets a field of a Config.
@@ -90,12 +94,19 @@
 	return func(c *Config) { c.Changed = changed }
 }
 
+// WithHandicap sets a function that tells how much longer than others the node
+// waits before it takes a lease that is free, so that another one gets it.
+func WithHandicap(handicap func() time.Duration) Option {
+	return func(c *Config) { c.Handicap = handicap }
+}
+
 // NewElector returns an elector for the lease kept in the row key.
 func NewElector(key table.Key, node machine.Node, store *machine.Store, options ...Option) *Elector {
 	config := Config{
-		Term:    DefaultTerm,
-		Renewal: DefaultRenewal,
-		Changed: func(Lease, bool) {},
+		Term:     DefaultTerm,
+		Renewal:  DefaultRenewal,
+		Changed:  func(Lease, bool) {},
+		Handicap: func() time.Duration { return 0 },
 	}
 	for _, option := range options {
 		option(&config)
@@ -183,10 +194,13 @@
 	if e.seen.IsZero() {
 		return false
 	}
-	if e.lease.Holder == "" || e.lease.Holder == e.node {
+	switch e.lease.Holder {
+	case e.node:
 		return true
+	case "":
+		return e.silent >= e.config.Handicap()
 	}
-	return e.silent >= e.config.Term
+	return e.silent >= e.config.Term+e.config.Handicap()
 }
 
 func (e *Elector) read() {
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -56,9 +56,9 @@
 	store *machine.Store
 }
 
-func newNode(name machine.Node) node {
+func newNode(name machine.Node, options ...lease.Option) node {
 	store := machine.NewStore()
-	return node{Elector: lease.NewElector("lease", name, store), store: store}
+	return node{Elector: lease.NewElector("lease", name, store, options...), store: store}
 }
 
 // tick lets the elector act and answers what it asks of the table.
@@ -178,3 +178,41 @@
 		t.Error("the lease was not handed over")
 	}
 }
+
+// TestHandicap has a node with a handicap and one without see a lease that is
+// free, and one whose holder is silent. The one without gets it, though it looks
+// later; alone, the one with the handicap takes it too.
+func TestHandicap(t *testing.T) {
+	handicap := lease.WithHandicap(func() time.Duration { return lease.DefaultRenewal })
+	for _, alone := range []bool{false, true} {
+		r := newRows()
+		weak, strong := newNode("weak", handicap), newNode("strong")
+		now := start
+		run := func(d time.Duration, nodes ...node) {
+			for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+				for _, n := range nodes {
+					n.tick(now, r)
+				}
+			}
+		}
+		run(300*time.Millisecond, weak)
+		if alone {
+			run(3*time.Second, weak)
+		} else {
+			run(3*time.Second, weak, strong)
+		}
+		_, held := weak.Lease()
+		if held != alone {
+			t.Errorf("alone %t: the weak node holds a free lease: %t", alone, held)
+		}
+		if alone {
+			continue
+		}
+		other := newNode("other")
+		run(2*time.Second, weak, other)
+		run(lease.DefaultTerm+3*time.Second, weak, other)
+		if _, held := other.Lease(); !held {
+			t.Error("the weak node took the lease of one that fell silent")
+		}
+	}
+}
