--- a/internal/region/day_test.go
+++ b/internal/region/day_test.go
@@ -119,9 +119,7 @@
 	b.submit(gpuJob("next", 1, 8))
 	b.report("a", nil)
 	b.now = b.now.Add(6 * time.Second)
-	b.report("a", func(r *control.Report) {
-		r.Ends = []control.End{{N: 5, Task: taskOf("next", 0), Run: b.run[taskOf("next", 0)], Outcome: control.Done}}
-	})
+	b.report("a", b.ending(5, "next"))
 	b.save()
 	again, err := b.table.Scan(context.Background(), region.PaceKey, "", 10)
 	if err != nil || len(again) != 1 || again[0].Version == rows[0].Version {
--- a/internal/region/region_test.go
+++ b/internal/region/region_test.go
@@ -137,6 +137,13 @@
 	b.report(agent, nil)
 }
 
+// ending has a report list that the first task of a job is done.
+func (b *bed) ending(n control.EndID, id work.JobID) func(*control.Report) {
+	return func(r *control.Report) {
+		r.Ends = []control.End{{N: n, Task: taskOf(id, 0), Run: b.run[taskOf(id, 0)], Outcome: control.Done}}
+	}
+}
+
 func gpuJob(id work.JobID, count int, accelerators int64) work.Job {
 	return work.Job{ID: id, Queue: queueID, Account: "depot", Steps: []work.Step{{
 		Count: count, Need: work.Resources{Processor: 1000, Memory: 1024, Accelerators: accelerators},
@@ -190,9 +197,7 @@
 	b.join("a")
 	b.submit(gpuJob("j1", 1, 4))
 	b.report("a", nil)
-	word := b.report("a", func(r *control.Report) {
-		r.Ends = []control.End{{N: 1, Task: taskOf("j1", 0), Run: b.run[taskOf("j1", 0)], Outcome: control.Done}}
-	})
+	word := b.report("a", b.ending(1, "j1"))
 	if word.Noted != 0 {
 		t.Errorf("end %d noted before it is durable", word.Noted)
 	}
--- a/internal/region/retention.go
+++ b/internal/region/retention.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// forget drops the ended jobs of a batch. If their rows were not removed for they
-// have changed, they are left to the next leader.
+// forget drops the ended jobs of a batch. Those whose rows were not removed, since
+// another process has changed one, are left to the next leader.
 func (c *Core) forget(b *Batch, removed bool) {
 	if len(b.expired) == 0 {
 		return
--- a/internal/region/retention_test.go
+++ b/internal/region/retention_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/region"
 	"github.com/lovageroad/lovageroad/internal/work"
 	"github.com/lovageroad/lovageroad/pkg/table"
@@ -32,9 +31,7 @@
 	b.join("a")
 	b.submit(gpuJob("j1", 1, 4))
 	b.report("a", nil)
-	b.report("a", func(r *control.Report) {
-		r.Ends = []control.End{{N: 1, Task: taskOf("j1", 0), Run: b.run[taskOf("j1", 0)], Outcome: control.Done}}
-	})
+	b.report("a", b.ending(1, "j1"))
 	b.submit(gpuJob("j2", 1, 4))
 	cancel := table.Txn{Writes: []table.Write{{Key: region.CancelPrefix + "j2"}}}
 	if _, err := b.table.Commit(context.Background(), cancel); err != nil {
@@ -71,9 +68,7 @@
 	b.join("a")
 	b.submit(gpuJob("j1", 1, 4))
 	b.report("a", nil)
-	b.report("a", func(r *control.Report) {
-		r.Ends = []control.End{{N: 1, Task: taskOf("j1", 0), Run: b.run[taskOf("j1", 0)], Outcome: control.Done}}
-	})
+	b.report("a", b.ending(1, "j1"))
 	b.save()
 	changed := table.Txn{Writes: []table.Write{{Key: region.JobPrefix + "j1", Value: []byte("x")}}}
 	if _, err := b.table.Commit(context.Background(), changed); err != nil {
@@ -83,9 +78,7 @@
 	b.join("a")
 	b.submit(gpuJob("j2", 1, 4))
 	b.report("a", nil)
-	b.report("a", func(r *control.Report) {
-		r.Ends = []control.End{{N: 2, Task: taskOf("j2", 0), Run: b.run[taskOf("j2", 0)], Outcome: control.Done}}
-	})
+	b.report("a", b.ending(2, "j2"))
 	for range 3 {
 		b.save()
 		if keys := b.core.Unsure(); len(keys) > 0 {
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -234,9 +234,7 @@
 	b.join("a")
 	b.submit(gpuJob("j1", 1, 8))
 	b.report("a", nil)
-	b.report("a", func(r *control.Report) {
-		r.Ends = []control.End{{N: 1, Task: taskOf("j1", 0), Run: b.run[taskOf("j1", 0)], Outcome: control.Done}}
-	})
+	b.report("a", b.ending(1, "j1"))
 	b.save()
 	key := region.RecordPrefix + "j1"
 	if _, err := b.table.Commit(context.Background(), table.Txn{Writes: []table.Write{{Key: key, Value: []byte("{}")}}}); err != nil {
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -3,6 +3,7 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -68,6 +69,10 @@
 		Hold    time.Duration
 		Gang    time.Duration
 
+		// Retention is how long the rows of a job are kept after its end, 0 for
+		// region.DefaultRetention.
+		Retention time.Duration
+
 		// Processor is what the gate may use, 0 if that is not known. Gates that
 		// have much less than others lead only if no other one does.
 		Processor work.Millicores
@@ -107,6 +112,7 @@
 
 // NewGate returns a gate that begins to serve with Run.
 func NewGate(config GateConfig) *Gate {
+	config.Retention = cmp.Or(config.Retention, region.DefaultRetention)
 	g := &Gate{
 		config: config, client: control.NewClient(), holder: configuration.NewHolder(),
 		leaving: make(chan struct{}), changed: make(chan struct{}), peers: config.Seeds, metrics: NewMetrics(),
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		core := region.New(begun, l.epoch, l.guard, l.guard.Version, settings,
-			region.WithHold(l.gate.config.Hold), region.WithGang(l.gate.config.Gang))
+			region.WithHold(l.gate.config.Hold), region.WithGang(l.gate.config.Gang), region.WithRetention(l.gate.config.Retention))
 		core.WithLog(l.logLine)
 		core.SetDay(l.gate.day())
 		core.Begin(boottime.Now(), sets[0], sets[1], sets[2], sets[3], sets[4])
