Answer callers while they can still ask another gate

Change: what a caller says of its patience bounds its request to 45 % of it.

Ruled out: refusing at the first answer that is missing. A lost answer is settled by the second try (TestLostAnswer), which is what callers want.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,10 @@
 
 	// pause is the wait between two tries.
 	pause = 60 * time.Millisecond
+
+	// answerShare is the part of a caller's patience after which it gets an
+	// answer in any case, so that it can still ask another gate.
+	answerShare = 0.45
 )
 
 type (
@@ -80,6 +84,15 @@
 	return func(e *Entry) { e.clock = clock }
 }
 
+// Within returns a context that ends early enough for a caller that waits for an
+// answer for some time to try again elsewhere. Zero is a caller that does not say.
+func Within(ctx context.Context, patience time.Duration) (context.Context, context.CancelFunc) {
+	if patience <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(answerShare*float64(patience)))
+}
+
 // Submit stores a job. A job that is stored already is accepted again. The
 // write holds only if the configuration row is still the one that the request
 // was checked by.
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,91 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/configuration"
+	"github.com/lovageroad/lovageroad/internal/entry"
+	"github.com/lovageroad/lovageroad/internal/platform"
+	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+const configKey table.Key = "op/config"
+
+// service is a table whose commits can be disturbed.
+type service struct {
+	*platform.Memory
+	commit func(ctx context.Context, txn table.Txn) (table.Version, error)
+}
+
+func (s service) Commit(ctx context.Context, txn table.Txn) (table.Version, error) {
+	if s.commit != nil {
+		return s.commit(ctx, txn)
+	}
+	return s.Memory.Commit(ctx, txn)
+}
+
+// submit hands a job in for a caller that waits for three seconds, and returns
+// the verdict and how long it took.
+func submit(s service) (entry.Verdict, time.Duration) {
+	e := entry.New(s, nil, configuration.NewHolder(), configKey)
+	ctx, cancel := entry.Within(context.Background(), 3*time.Second)
+	defer cancel()
+	began := time.Now()
+	job := work.Job{ID: "j1", Queue: "q", Steps: []work.Step{{Count: 1}}}
+	verdict, _ := e.Submit(ctx, &configuration.Queue{ID: "q", Pool: "p"}, table.Absent, job)
+	return verdict, time.Since(began)
+}
+
+// TestSilentTable has the table not answer. The caller is told so in time to ask
+// another gate, and not that its job does not run.
+func TestSilentTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func(ctx context.Context, _ table.Txn) (table.Version, error) {
+			limit, cancel := context.WithTimeout(ctx, 700*time.Millisecond)
+			defer cancel()
+			<-limit.Done()
+			return 0, &table.UncertainError{Reason: "no answer"}
+		}
+		verdict, took := submit(service{Memory: platform.NewMemory(), commit: silent})
+		if verdict != entry.Unknown || took > 1500*time.Millisecond {
+			t.Errorf("verdict %v after %v", verdict, took)
+		}
+	})
+}
+
+// TestRejected has the table reject the job. The caller is told at once that it
+// does not run.
+func TestRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rejects := func(context.Context, table.Txn) (table.Version, error) {
+			return 0, &table.RejectedError{Reason: "closed"}
+		}
+		verdict, took := submit(service{Memory: platform.NewMemory(), commit: rejects})
+		if verdict != entry.NotRun || took != 0 {
+			t.Errorf("verdict %v after %v", verdict, took)
+		}
+	})
+}
+
+// TestLostAnswer has the first answer get lost after the job was stored.
+func TestLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := platform.NewMemory()
+		lost := false
+		loses := func(ctx context.Context, txn table.Txn) (table.Version, error) {
+			version, err := memory.Commit(ctx, txn)
+			if !lost {
+				lost = true
+				return 0, &table.UncertainError{Reason: "no answer"}
+			}
+			return version, err
+		}
+		if verdict, _ := submit(service{Memory: memory, commit: loses}); verdict != entry.Accepted {
+			t.Errorf("verdict %v", verdict)
+		}
+	})
+}
