Give up a runner that is gone while a task is to stop there

Ten runners were lost for good while stops were under way. An agent repeats a stop, and took the connection that could not be made for an answer of the runner: it never fell silent, its lease was extended on paper, and the leader waited for its tasks for ever.

Change: Unreached is an answer of its own. The call never takes effect, and it is no sign of life. TestGoneRunner failed first.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -183,9 +183,7 @@
 	if t == nil || t.token != e.Call.Token || c.runner == nil || c.runner.ID != e.Call.Runner {
 		return
 	}
-	if e.Answer != Unanswered {
-		c.contact = now
-	}
+	c.touch(now, e.Answer)
 	switch e.Answer {
 	case Accepted:
 		t.phase, t.answered = control.Running, now
@@ -197,7 +195,7 @@
 		}
 		delete(c.tasks, key)
 		c.refuse(key, "fenced")
-	case Refused:
+	case Refused, Unreached:
 		delete(c.tasks, key)
 		c.refuse(key, e.Reason)
 	default:
@@ -211,13 +209,19 @@
 // onStop takes in a runner's answer to a stop.
 func (c *Core) onStop(now time.Time, e StopResult) {
 	t := c.tasks[runKey{e.Call.Stop.Task, e.Call.Stop.Run}]
-	if e.Answer != Unanswered {
-		c.contact = now
-	} else if t != nil {
+	c.touch(now, e.Answer)
+	if e.Answer == Unanswered && t != nil {
 		t.stopping = time.Time{}
 	}
 }
 
+// touch takes note of a sign of life of the runner: any answer of its own.
+func (c *Core) touch(now time.Time, answer Answer) {
+	if answer != Unanswered && answer != Unreached {
+		c.contact = now
+	}
+}
+
 // work asks the runner and the leader for what is due.
 func (c *Core) work(now time.Time) {
 	c.stops(now)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -31,6 +31,10 @@
 
 	// Unanswered says that the call may have been carried out, or may be later.
 	Unanswered
+
+	// Unreached says that no connection to the runner could be made: the call
+	// never takes effect, and the runner has shown no sign of life.
+	Unreached
 )
 
 type (
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -242,3 +242,33 @@
 		}
 	}
 }
+
+// TestGoneRunner has a runner vanish for good while a task is to stop there: no
+// connection to it can be made. That is no sign of life, so that the agent gives
+// up what ran there when its lease is over.
+func TestGoneRunner(t *testing.T) {
+	b := newBed(t)
+	b.word(b.ready(), func(w *control.Word) { w.Starts = []control.Start{start(1)} })
+	b.step(runner.StartResult{Call: must[runner.StartTask](b), Answer: runner.Accepted})
+	send := must[runner.Send](b)
+	b.word(send, func(w *control.Word) {
+		w.Stops = []control.Stop{{Task: start(1).Task, Run: 1}}
+	})
+	for end := b.now.Add(15 * time.Second); b.now.Before(end); {
+		b.wait(100 * time.Millisecond)
+		for _, effect := range b.effects {
+			switch e := effect.(type) {
+			case runner.Look:
+				b.step(runner.LookResult{Call: e, Answer: runner.Unreached})
+			case runner.StopTask:
+				b.step(runner.StopResult{Call: e, Answer: runner.Unreached})
+			case runner.Send:
+				if e.Report.Lost && len(e.Report.Tasks) == 0 {
+					return
+				}
+				b.word(e, nil)
+			}
+		}
+	}
+	t.Error("the agent still reports what a runner has that is gone")
+}
