Start nothing at a runner that shows no sign of life

Each start that an agent sent might have extended the lease of what the runner had, so that the agent never took the lease for over while its leader went on to order tasks there, hundreds of them, each refused for want of a connection.

Change: an agent refuses starts while neither answers nor beats of its runner come. TestGoneRunnerGetsNoStarts failed first.

Ruled out: Unreached alone, mended before: it is in the code that failed.

--- a/internal/runner/list.go
+++ b/internal/runner/list.go
@@ -118,6 +118,13 @@
 	})
 }
 
+// quiet reports whether the runner shows no sign of life, neither by answers nor
+// by beats. It is not told to start anything then: each start might extend its
+// lease, so that what it had could never be given up.
+func (c *Core) quiet(now time.Time) bool {
+	return now.Sub(c.contact) > c.config.Dark && now.Sub(c.beatAt) > c.config.Quiet
+}
+
 // expire gives up what a silent runner had, once its lease has run out by its
 // own clock.
 func (c *Core) expire(now time.Time) {
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -163,6 +163,10 @@
 		c.refuse(key, "draining")
 		return
 	}
+	if c.quiet(now) {
+		c.refuse(key, "runner silent")
+		return
+	}
 	t := &task{start: start, phase: control.Starting}
 	c.tasks[key] = t
 	c.call(now, t)
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -272,3 +272,36 @@
 	}
 	t.Error("the agent still reports what a runner has that is gone")
 }
+
+// TestGoneRunnerGetsNoStarts has a runner vanish while a task runs there and its
+// leader goes on to order others. They must not keep the agent from giving up
+// what ran there.
+func TestGoneRunnerGetsNoStarts(t *testing.T) {
+	b := newBed(t)
+	b.word(b.ready(), func(w *control.Word) { w.Starts = []control.Start{start(1)} })
+	b.step(runner.StartResult{Call: must[runner.StartTask](b), Answer: runner.Accepted})
+	queue := b.effects
+	task := start(1)
+	for end := b.now.Add(15 * time.Second); b.now.Before(end); {
+		b.wait(50 * time.Millisecond)
+		queue = append(queue, b.effects...)
+		if len(queue) == 0 {
+			continue
+		}
+		b.effects = nil
+		switch e := queue[0].(type) {
+		case runner.Look:
+			b.step(runner.LookResult{Call: e, Answer: runner.Unreached})
+		case runner.StartTask:
+			b.step(runner.StartResult{Call: e, Answer: runner.Unreached})
+		case runner.Send:
+			if e.Report.Lost && len(e.Report.Tasks) == 0 {
+				return
+			}
+			task.Task.Index++
+			b.word(e, func(w *control.Word) { w.Starts = []control.Start{task} })
+		}
+		queue = append(queue[1:], b.effects...)
+	}
+	t.Error("the agent still reports what a runner has that is gone")
+}
