--- a/internal/region/retention.go
+++ b/internal/region/retention.go
@@ -7,16 +7,25 @@
 )
 
 const (
-	// DefaultRetention is how long the rows of a job are kept after its end: five
-	// times what the users' platform asks for, and much longer than copies of a
-	// submission stay under way.
+	// DefaultRetention is how long the rows of a job are kept after its end at
+	// least: much longer than copies of a submission stay under way.
 	DefaultRetention = 10 * time.Minute
 
+	// keepFactor is how much longer rows of ended jobs are kept than their states
+	// are to be told, for copies of submissions that are still under way.
+	keepFactor = 5
+
 	// rowsPerJob is how many rows a job may have: its own, its record and its
 	// cancellation.
 	rowsPerJob = 3
 )
 
+// Retention returns how long the rows of a job are kept after its end, if its state
+// is to be told for some time.
+func Retention(told time.Duration) time.Duration {
+	return max(DefaultRetention, keepFactor*told)
+}
+
 // WithRetention sets how long the rows of a job are kept after its end.
 func WithRetention(retention time.Duration) Option {
 	return func(c *Config) { c.Retention = retention }
--- a/internal/region/retention_test.go
+++ b/internal/region/retention_test.go
@@ -93,3 +93,11 @@
 		t.Errorf("record of j2 says %q", got)
 	}
 }
+
+func TestRetentionOfStates(t *testing.T) {
+	for told, want := range map[time.Duration]time.Duration{0: region.DefaultRetention, 200 * time.Second: 1000 * time.Second} {
+		if got := region.Retention(told); got != want {
+			t.Errorf("states told for %v: rows kept for %v, want %v", told, got, want)
+		}
+	}
+}
