--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -81,6 +81,7 @@
 	if call.To == c.leader {
 		c.leader = ""
 		c.lost, c.lostAt = call.To, now
+		// Only the connection may be lost: the search begins with the leader.
 		c.turn = max(slices.Index(c.gates, call.To), 0)
 		c.log("leader lost", "leader", call.To, "epoch", c.epoch)
 	}
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -77,13 +77,8 @@
 	)
 	for g.ctx.Err() == nil {
 		now := boottime.Now()
-		failed := false
-		if announced.IsZero() || now.Sub(announced) >= announceInterval {
-			if g.announce() {
-				announced = now
-			} else {
-				failed = announced.IsZero()
-			}
+		if now.Sub(announced) >= announceInterval && g.announce() {
+			announced = now
 		}
 		rows, err := g.table.Scan(g.ctx, gatePrefix, "", scanPage)
 		if err == nil {
@@ -94,7 +89,7 @@
 			g.sweep(roster.Observe(now, rows))
 		}
 		wait := memberPause
-		if failed || err != nil {
+		if announced.IsZero() || err != nil {
 			wait = retryPause
 		}
 		g.pause(wait)
