Give up tasks beside an agent that has started again without its runner

An agent that starts again and never hears from its runner reports all the same, and each answer extended the leader's belief that the tasks there are held, though nobody renews their lease.

Change: only a report that names a runner extends the hold, or brings a lost worker back. TestAgentWithoutRunner failed first. Ruled out: leaving it to the agent; it does not know what ran there.

--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -292,3 +292,25 @@
 		t.Errorf("starts %v, want the second task only", word.Starts)
 	}
 }
+
+// TestAgentWithoutRunner has an agent start again beside a runner that is gone for
+// good. It can't renew the lease of what ran there, so that its reports must not
+// keep the tasks there either.
+func TestAgentWithoutRunner(t *testing.T) {
+	b := newBed(t)
+	b.join("a")
+	b.submit(gpuJob("j1", 1, 8))
+	b.report("a", nil)
+	b.report("a", b.holding("a"))
+	b.join("b")
+	for end := b.now.Add(10 * time.Second); b.now.Before(end); {
+		b.now = b.now.Add(500 * time.Millisecond)
+		b.core.Tick(b.now)
+		b.report("a", func(r *control.Report) { r.Life, r.Runner, r.Listed = 2, nil, false })
+		if word := b.report("b", nil); len(word.Starts) == 1 {
+			return
+		}
+		b.save()
+	}
+	t.Error("the task is still taken to run beside an agent that knows no runner")
+}
--- a/internal/region/word.go
+++ b/internal/region/word.go
@@ -31,13 +31,15 @@
 }
 
 // Word returns the orders for an agent. Sending it extends the hold of all that
-// runs there.
+// runs there, if the agent knows its runner.
 func (c *Core) Word(now time.Time, agent control.AgentID) control.Word {
 	w := c.workers[agent]
 	if w == nil {
 		return control.Word{Leads: true, Epoch: c.epoch}
 	}
-	w.expiry = now.Add(c.patience())
+	if !w.blind {
+		w.expiry = now.Add(c.patience())
+	}
 	w.woken = false
 	w.serial++
 	word := control.Word{Leads: true, Epoch: c.epoch, Serial: w.serial, Fence: w.fence, Noted: w.noted, Poll: c.poll()}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -41,7 +41,11 @@
 		// the agent before.
 		expiry time.Time
 		lost   bool
-		held   map[work.TaskID]*hold
+
+		// blind says that the agent does not know its runner, so that it can't renew
+		// the lease of what runs there.
+		blind bool
+		held  map[work.TaskID]*hold
 
 		// counted is the last end taken in, noted the last one that is durable.
 		counted, noted control.EndID
@@ -123,7 +127,8 @@
 		c.log(Line{Event: "agent joined", Worker: w.id, Count: len(r.Tasks)})
 	}
 	w.seq = r.Seq
-	if w.lost {
+	w.blind = r.Runner == nil
+	if w.lost && !w.blind {
 		w.lost = false
 		c.log(Line{Event: "worker back", Worker: w.id})
 	}
