Log the steps of the election by which a change of leader can be explained

Nothing told whether a release had been sent, had no answer or was durable, whether an acquisition or renewal had no answer, and how it was settled.

The elector passes these steps to a callback, with the proposed lease, the known version of its row, the age of the write and the error. Gates log and count them (events_total); the gate of the own interface logs them from an effect. Renewals that are confirmed at once are left out, so that a calm leader logs nothing.

No logic is changed. TestEvents checks the events of a release whose answer is lost.

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -119,7 +119,8 @@
 	changed := lease.WithChanged(func(current lease.Lease, held bool) {
 		g.emit(LeadershipChanged{Leader: current.Holder, Epoch: current.Epoch, Held: held})
 	})
-	g.elector = lease.NewElector(leaseKey(region), node, g.store, append(config.Lease, changed)...)
+	log := lease.WithLog(func(e lease.Event) { g.emit(LeaseEvent{Event: e}) })
+	g.elector = lease.NewElector(leaseKey(region), node, g.store, append(config.Lease, changed, log)...)
 	return g
 }
 
--- a/internal/gate/observe.go
+++ b/internal/gate/observe.go
@@ -58,6 +58,11 @@
 		Held   bool
 	}
 
+	// LeaseEvent is an effect: a step of the election, for the log.
+	LeaseEvent struct {
+		lease.Event
+	}
+
 	// WorkerChanged is an effect: a worker has joined its leader, begins to
 	// drain, or was lost.
 	WorkerChanged struct {
--- a/internal/serve/election.go
+++ b/internal/serve/election.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// logLeaseEvent counts and logs a step of the elector.
+func (g *Gate) logLeaseEvent(e lease.Event) {
+	g.metrics.events.WithLabelValues(string(e.Kind)).Inc()
+	klog.InfoS(string(e.Kind), "epoch", e.Lease.Epoch, "holder", e.Lease.Holder, "renewals", e.Lease.Renewals,
+		"version", e.Version, "self", e.Held, "age", e.Age, "reason", e.Err)
+}
+
 // announceLeadership notifies all other gates that this one leads, so that
 // agents need not wait until each gate has read the lease.
 func (g *Gate) announceLeadership(notice control.LeaderNotice) {
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -147,7 +147,7 @@
 	g.store = machine.NewStore()
 	g.elector = lease.NewElector(leaseKey, config.Node, g.store,
 		lease.WithTerm(leaseTerm), lease.WithRenewal(leaseRenewalInterval), lease.WithChanged(g.leaseChanged),
-		lease.WithAcquireDelay(g.takeoverDelay))
+		lease.WithLog(g.logLeaseEvent), lease.WithAcquireDelay(g.takeoverDelay))
 	return g
 }
 
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -55,6 +55,7 @@
 		Term    time.Duration
 		Renewal time.Duration
 		Changed func(current Lease, held bool)
+		Log     func(Event)
 
 		// AcquireDelay returns the extra time that the node waits before it acquires
 		// a lease that is free or has expired.
@@ -118,6 +119,7 @@
 		Term:         DefaultTerm,
 		Renewal:      DefaultRenewal,
 		Changed:      func(Lease, bool) {},
+		Log:          func(Event) {},
 		AcquireDelay: func() time.Duration { return 0 },
 	}
 	for _, option := range options {
@@ -194,6 +196,7 @@
 	}
 	e.nextTick = now
 	e.held = false
+	e.log(SteppedDown, e.lease, nil)
 	e.config.Changed(e.lease, false)
 }
 
@@ -204,6 +207,7 @@
 		return
 	}
 	e.nextTick = now
+	e.log(NewerObserved, seen, nil)
 	e.update(seen, table.Absent)
 }
 
@@ -286,6 +290,9 @@
 	}
 	e.inFlight = true
 	e.writeSentAt = e.store.Now()
+	if !e.held {
+		e.log(AcquisitionSent, proposed, nil)
+	}
 	e.commit(proposed, !e.held, func(result machine.StoreResult) {
 		e.inFlight = false
 		e.finishWrite(proposed, result)
@@ -296,16 +303,29 @@
 func (e *Elector) release() {
 	released := Lease{Epoch: e.lease.Epoch, Renewals: e.lease.Renewals + 1}
 	e.inFlight = true
+	e.writeSentAt = e.store.Now()
+	e.log(ReleaseSent, released, nil)
 	e.commit(released, false, func(result machine.StoreResult) {
 		e.inFlight = false
-		if result.Err == nil {
-			e.update(released, result.Rows[0].Version)
-			return
-		}
-		e.read()
+		e.finishRelease(released, result)
 	})
 }
 
+func (e *Elector) finishRelease(released Lease, result machine.StoreResult) {
+	var rejected *table.RejectedError
+	switch {
+	case result.Err == nil:
+		e.log(ReleaseDurable, released, nil)
+		e.update(released, result.Rows[0].Version)
+		return
+	case errors.As(result.Err, &rejected):
+		e.log(ReleaseRejected, released, result.Err)
+	default:
+		e.log(ReleaseUnresolved, released, result.Err)
+	}
+	e.read()
+}
+
 func (e *Elector) commit(proposed Lease, newEpoch bool, done func(machine.StoreResult)) {
 	value, err := json.Marshal(proposed)
 	if err != nil {
@@ -332,6 +352,11 @@
 	case errors.As(result.Err, &rejected):
 		return
 	default:
+		kind := RenewalUnresolved
+		if proposed.Epoch != e.lease.Epoch {
+			kind = AcquisitionUnresolved
+		}
+		e.log(kind, proposed, result.Err)
 		e.resolveWrite(proposed)
 	}
 }
@@ -343,9 +368,11 @@
 	e.store.Read([]table.Key{e.key, e.guardKey()}, func(result machine.StoreResult) {
 		e.inFlight = false
 		if stored, version, guard, ok := e.decodeRows(result.Rows); result.Err == nil && ok && stored == proposed {
+			e.log(WriteFound, proposed, nil)
 			e.applyWrite(proposed, version, guard)
 			return
 		}
+		e.log(WriteNotFound, proposed, result.Err)
 		e.applyRead(result)
 	})
 }
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -220,3 +221,21 @@
 		}
 	}
 }
+
+// TestEvents releases a lease with a lost answer. The events must tell the acquisition,
+// and the release with its uncertain outcome.
+func TestEvents(t *testing.T) {
+	var kinds []lease.EventKind
+	r := newMemoryTable()
+	n := newNode("node", lease.WithLog(func(e lease.Event) { kinds = append(kinds, e.Kind) }))
+	n.tick(start, r)
+	n.tick(start.Add(lease.DefaultRenewal), r)
+	n.store.Advance(start.Add(2 * lease.DefaultRenewal))
+	n.Resign(start.Add(2 * lease.DefaultRenewal))
+	r.answer(n.store.Take()[0])
+	n.store.Resolve(machine.StoreResult{ID: 3, Err: &table.UncertainError{Reason: "no answer"}})
+	want := []lease.EventKind{lease.AcquisitionSent, lease.ReleaseSent, lease.ReleaseUnresolved}
+	if !slices.Equal(kinds, want) {
+		t.Errorf("got events %q, want %q", kinds, want)
+	}
+}
