Make a lease invalid from the moment its release is sent

What callers would see: a task that must run once runs twice around a graceful shutdown of the leading gate, if the answer to its resignation is late or lost.

The table may have the release long before; another gate that reads the row without a holder acquires it at once. Then both gates pass the check before they give orders, and both learn of a job that is accepted now by the change feed: the new leader starts it at once, since it is newer than its epoch, and the former one starts it at another agent that has not heard of the new epoch.

Valid is false from the moment a release is sent until the known version of the row changes (a release checks the version, so it cannot land later), or the release was rejected and none before it was uncertain. A read that shows the row unchanged proves nothing, since a write without an answer may be performed later. The node still counts as the holder until it knows that the release is durable, as the shutdown of a gate requires; internal/gate uses only that. A gate that resigns does not renew, so it loses at most the rest of its term.

Evidence: before the fix TestValidWhileReleasing fails with "both nodes hold a valid lease while the answer to a release is late" and "... after the answer to a release was lost", and TestValidAfterRelease in the cases "no answer" and "no answer, then rejected". The case "rejected" and TestReleaseOvertaken passed before and guard against giving up too much.

Ruled out: a second pair of leaders by orders that are under way. A leader checks the lease and composes the orders under one lock, so they contain only jobs that were in the table before.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -84,6 +84,10 @@
 		held         bool
 		inFlight     bool
 		resigned     bool
+
+		// mayBeReleased reports that a release of the known version of the row was
+		// sent and may be durable, or become so.
+		mayBeReleased bool
 	}
 )
 
@@ -160,8 +164,8 @@
 }
 
 // Resign releases the lease, if it is held, and stops the elector from acquiring
-// it again. The node keeps holding the lease until the release is durable, since
-// no other node can acquire it before.
+// it again. The node keeps holding the lease until it knows that the release is
+// durable, but the lease is not valid while the release may be.
 func (e *Elector) Resign(now time.Time) {
 	e.resigned = true
 	e.nextTick = now
@@ -175,9 +179,10 @@
 }
 
 // Valid reports whether this node holds the lease and no challenger can have
-// acquired it yet: the last successful renewal was sent less than a term ago.
+// acquired it yet: the last successful renewal was sent less than a term ago, and no
+// release has been sent that may be durable.
 func (e *Elector) Valid(now time.Time) bool {
-	return e.held && now.Sub(e.renewedAt) < e.config.Term
+	return e.held && !e.mayBeReleased && now.Sub(e.renewedAt) < e.config.Term
 }
 
 // Released reports whether this node neither holds the lease nor is named in its row
@@ -276,6 +281,7 @@
 	}
 	e.confirmedAt = now
 	before, held := e.lease, e.held
+	e.mayBeReleased = e.mayBeReleased && version == e.version
 	e.lease, e.version = current, version
 	e.held = e.held && current.Holder == e.node && current.Epoch == before.Epoch
 	if e.held != held || before.Holder != current.Holder || before.Epoch != current.Epoch {
@@ -304,14 +310,18 @@
 	released := Lease{Epoch: e.lease.Epoch, Renewals: e.lease.Renewals + 1}
 	e.inFlight = true
 	e.writeSentAt = e.store.Now()
+	uncertainBefore := e.mayBeReleased
+	e.mayBeReleased = true
 	e.log(ReleaseSent, released, nil)
 	e.commit(released, false, func(result machine.StoreResult) {
 		e.inFlight = false
-		e.finishRelease(released, result)
+		e.finishRelease(released, uncertainBefore, result)
 	})
 }
 
-func (e *Elector) finishRelease(released Lease, result machine.StoreResult) {
+// finishRelease applies the result of a release. After a rejection the row can only be
+// released by an earlier release whose result is uncertain.
+func (e *Elector) finishRelease(released Lease, uncertainBefore bool, result machine.StoreResult) {
 	var rejected *table.RejectedError
 	switch {
 	case result.Err == nil:
@@ -319,6 +329,7 @@
 		e.update(released, result.Rows[0].Version)
 		return
 	case errors.As(result.Err, &rejected):
+		e.mayBeReleased = uncertainBefore
 		e.log(ReleaseRejected, released, result.Err)
 	default:
 		e.log(ReleaseUnresolved, released, result.Err)
@@ -380,6 +391,7 @@
 // applyWrite sets the known state of the lease after a successful write by this node.
 func (e *Elector) applyWrite(current Lease, version, guard table.Version) {
 	before, held := e.lease, e.held
+	e.mayBeReleased = false
 	e.lease, e.version, e.guardVersion, e.held = current, version, guard, held || !e.resigned
 	e.confirmedAt, e.unchangedFor = e.store.Now(), 0
 	e.renewedAt = e.writeSentAt
--- /dev/null
+++ b/pkg/lease/uncertain_test.go
@@ -0,0 +1,123 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/pkg/lease"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+// hold makes the node acquire the lease, and returns the time after that.
+func hold(t *testing.T, n node, r *memoryTable) time.Time {
+	t.Helper()
+	n.tick(start, r)
+	n.tick(start.Add(lease.DefaultRenewal), r)
+	if _, held := n.Lease(); !held {
+		t.Fatal("the node did not acquire a free lease")
+	}
+	return start.Add(2 * lease.DefaultRenewal)
+}
+
+// request calls act and returns the only table operation that it requests.
+func (n node) request(t *testing.T, now time.Time, act func(now time.Time)) machine.Effect {
+	t.Helper()
+	n.store.Advance(now)
+	act(now)
+	effects := n.store.Take()
+	if len(effects) != 1 {
+		t.Fatalf("%d table operations requested, want 1", len(effects))
+	}
+	return effects[0]
+}
+
+// resolve passes the outcome of an operation to the node and returns the operation that
+// it requests then, if any.
+func (n node) resolve(now time.Time, result machine.StoreResult) []machine.Effect {
+	n.store.Advance(now)
+	n.store.Resolve(result)
+	return n.store.Take()
+}
+
+// unanswered is the result of a commit whose answer was lost.
+func unanswered(effect machine.Effect) machine.StoreResult {
+	return machine.StoreResult{ID: effect.(machine.Commit).ID, Err: &table.UncertainError{Reason: "no answer"}}
+}
+
+// TestValidWhileReleasing guards against two nodes that act as holders at a time: a
+// release whose answer is late or lost lets another node acquire the lease at once.
+func TestValidWhileReleasing(t *testing.T) {
+	r := newMemoryTable()
+	first, second := newNode("first"), newNode("second")
+	now := hold(t, first, r)
+	second.tick(now, r)
+	release := first.request(t, now, first.Resign)
+	r.answer(release)
+	now = now.Add(lease.DefaultRenewal)
+	second.tick(now, r)
+	now = now.Add(lease.DefaultRenewal)
+	second.tick(now, r)
+	if !second.Valid(now) {
+		t.Fatal("the second node did not acquire the released lease")
+	}
+	if first.Valid(now) {
+		t.Error("both nodes hold a valid lease while the answer to a release is late")
+	}
+	first.resolve(now, unanswered(release))
+	if first.Valid(now) {
+		t.Error("both nodes hold a valid lease after the answer to a release was lost")
+	}
+}
+
+// TestValidAfterRelease guards against a release that is taken for failed although it may
+// still land, and against a holder that stops acting after a release that was rejected.
+func TestValidAfterRelease(t *testing.T) {
+	rejected := &table.RejectedError{Reason: "table unavailable"}
+	uncertain := &table.UncertainError{Reason: "no answer"}
+	for _, test := range []struct {
+		name  string
+		errs  []error
+		valid bool
+	}{
+		{name: "rejected", errs: []error{rejected}, valid: true},
+		{name: "no answer", errs: []error{uncertain}},
+		{name: "no answer, then rejected", errs: []error{uncertain, rejected}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newMemoryTable()
+			n := newNode("node")
+			now := hold(t, n, r)
+			act := n.Resign
+			for _, err := range test.errs {
+				release := n.request(t, now, act)
+				reads := n.resolve(now, machine.StoreResult{ID: release.(machine.Commit).ID, Err: err})
+				n.resolve(now, r.answer(reads[0]))
+				now = now.Add(lease.DefaultRenewal)
+				act = func(now time.Time) { n.Tick(now) }
+			}
+			if _, held := n.Lease(); !held || n.Valid(now) != test.valid {
+				t.Errorf("held %t, valid %t, want held and valid %t", held, n.Valid(now), test.valid)
+			}
+		})
+	}
+}
+
+// TestReleaseOvertaken guards against a holder that stops acting for a release that can
+// not land any more, since a delayed renewal has changed the row.
+func TestReleaseOvertaken(t *testing.T) {
+	r := newMemoryTable()
+	n := newNode("node")
+	now := hold(t, n, r)
+	renewal := n.request(t, now, func(now time.Time) { n.Tick(now) })
+	reads := n.resolve(now, unanswered(renewal))
+	n.resolve(now, r.answer(reads[0]))
+	now = now.Add(lease.DefaultRenewal)
+	release := n.request(t, now, n.Resign)
+	r.answer(renewal)
+	reads = n.resolve(now, r.answer(release))
+	n.resolve(now, r.answer(reads[0]))
+	if _, held := n.Lease(); !held || !n.Valid(now) {
+		t.Errorf("held %t, valid %t, want both", held, n.Valid(now))
+	}
+}
