Never lead an epoch again after ceasing to lead it

Cause: a renewal that was in flight when the node stepped down, or heard of a later epoch, made it the holder again in its old epoch once it was confirmed, or found by reading. Its owner then built a second leader for the same epoch.

What callers would see: a second leader numbers its orders, attempts and runs anew within the epoch, so that agents and runners take its orders for repeats of the first one's, or the other way round. At the users' platform its orders are withheld, since the lease of such a holder has expired (the later epoch began a term after the renewal); what shows is the old leader's name in redirects. A gate of the own interface gives orders as long as it holds the lease: agents that have not heard of the new leader obey it.

When: both need a renewal whose answer is handled after news of the next epoch, such as after a gate was paused: the peer's notice, or the conflict of a guarded write, is handled first.

A renewal now only confirms a lease that is still held; a write of an epoch below the known one is ignored. The node acquires a new epoch at its next tick, as after any step down.

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -191,10 +191,9 @@
 	return !e.held && e.lease.Holder != e.node
 }
 
-// StepDown makes this node stop acting as the holder. Unless it has resigned, its next
-// Tick tries to acquire the lease again with a higher epoch. If a renewal is in flight
-// and succeeds, the node is the holder again in the same epoch. StepDown has no effect
-// on a node that does not hold the lease.
+// StepDown makes this node stop acting as the holder for good in this epoch. Unless it
+// has resigned, its next Tick tries to acquire the lease again with a higher epoch.
+// StepDown has no effect on a node that does not hold the lease.
 func (e *Elector) StepDown(now time.Time) {
 	if !e.held {
 		return
@@ -388,14 +387,20 @@
 	})
 }
 
-// applyWrite sets the known state of the lease after a successful write by this node.
+// applyWrite sets the known state of the lease after a successful write by this node. A
+// renewal does not make the node the holder again if it has ceased to be that in the
+// meantime, and a write of an earlier epoch than the known one is out of date.
 func (e *Elector) applyWrite(current Lease, version, guard table.Version) {
+	if current.Epoch < e.lease.Epoch {
+		return
+	}
 	before, held := e.lease, e.held
+	acquired := before.Epoch != current.Epoch && !e.resigned
 	e.mayBeReleased = false
-	e.lease, e.version, e.guardVersion, e.held = current, version, guard, held || !e.resigned
+	e.lease, e.version, e.guardVersion, e.held = current, version, guard, held || acquired
 	e.confirmedAt, e.unchangedFor = e.store.Now(), 0
 	e.renewedAt = e.writeSentAt
-	if !held || before.Epoch != current.Epoch {
+	if before.Epoch != current.Epoch {
 		e.config.Changed(e.lease, e.held)
 	}
 }
--- a/pkg/lease/uncertain_test.go
+++ b/pkg/lease/uncertain_test.go
@@ -121,3 +121,48 @@
 		t.Errorf("held %t, valid %t, want both", held, n.Valid(now))
 	}
 }
+
+// TestEpochLedOnce guards against an epoch that is led twice by one node: a renewal is
+// confirmed after the node has stepped down or has heard of a later epoch.
+func TestEpochLedOnce(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		cease func(n node, now time.Time)
+		lost  bool
+	}{
+		{name: "stepped down", cease: func(n node, now time.Time) { n.StepDown(now) }},
+		{name: "stepped down, answer lost", cease: func(n node, now time.Time) { n.StepDown(now) }, lost: true},
+		{name: "later epoch", cease: func(n node, now time.Time) { n.Observe(now, lease.Lease{Holder: "other", Epoch: 2}) }},
+		{name: "later epoch, answer lost", cease: func(n node, now time.Time) { n.Observe(now, lease.Lease{Holder: "other", Epoch: 2}) }, lost: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newMemoryTable()
+			led := make(map[lease.Epoch]int)
+			n := newNode("node", lease.WithChanged(func(current lease.Lease, held bool) {
+				if held {
+					led[current.Epoch]++
+				}
+			}))
+			now := hold(t, n, r)
+			renewal := n.request(t, now, func(now time.Time) { n.Tick(now) })
+			result := r.answer(renewal)
+			test.cease(n, now)
+			if test.lost {
+				result = unanswered(renewal)
+			}
+			for _, read := range n.resolve(now, result) {
+				n.resolve(now, r.answer(read))
+			}
+			if _, held := n.Lease(); held || led[1] != 1 {
+				t.Errorf("held %t, epoch 1 led %d times, want not held and once", held, led[1])
+			}
+			for range 3 {
+				now = now.Add(lease.DefaultRenewal)
+				n.tick(now, r)
+			}
+			if current, held := n.Lease(); !held || current.Epoch != 2 || led[1] != 1 || led[2] != 1 {
+				t.Errorf("lease %+v held %t, led %v, want epoch 2 acquired once", current, held, led)
+			}
+		})
+	}
+}
