Tell a lease write that landed late from the next one

Cause: two attempts to write the lease had the same content if the first had no answer and its row was read unchanged. When the first landed late, the second conflicted, the row was read, and its content was taken for the second's. The lease then counted as valid from when the second was sent, although the row had been unchanged since the first landed: up to a renewal interval (0.3 s) longer than until another gate may acquire it. So two gates could give orders for that time. The same held for acquisitions.

Each attempt has a number of its own now. An earlier write that landed late is still seen as the node's own row: a holder remains the holder without a longer lease, and a challenger acquires the next epoch at its next tick.

Evidence: before the fix TestLateWriteIsNotTheNext fails for a renewal and for an acquisition with "the lease is valid a term after the row has changed".

--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -42,7 +42,8 @@
 	Epoch uint64
 
 	// Lease is the content of the row of a lease. Holder is empty after a
-	// resignation. Renewals counts the writes, so that each renewal changes the row.
+	// resignation. Renewals increases with each write that a node attempts, so that
+	// each renewal changes the row and no two attempts have the same content.
 	Lease struct {
 		Holder   machine.Node `json:"holder"`
 		Epoch    Epoch        `json:"epoch"`
@@ -85,6 +86,9 @@
 		inFlight     bool
 		resigned     bool
 
+		// lastProposed is Renewals of the last write that this node attempted.
+		lastProposed uint64
+
 		// mayBeReleased reports that a release of the known version of the row was
 		// sent and may be durable, or become so.
 		mayBeReleased bool
@@ -289,7 +293,8 @@
 }
 
 func (e *Elector) write() {
-	proposed := Lease{Holder: e.node, Epoch: e.lease.Epoch, Renewals: e.lease.Renewals + 1}
+	e.lastProposed = max(e.lastProposed, e.lease.Renewals) + 1
+	proposed := Lease{Holder: e.node, Epoch: e.lease.Epoch, Renewals: e.lastProposed}
 	if !e.held {
 		proposed.Epoch++
 	}
@@ -372,7 +377,8 @@
 }
 
 // resolveWrite reads the row after a conflict, or a write with an uncertain outcome,
-// to find out whether the write was applied.
+// to find out whether the write was applied. An earlier write that was applied late does
+// not extend the lease, and does not make the node the holder.
 func (e *Elector) resolveWrite(proposed Lease) {
 	e.inFlight = true
 	e.store.Read([]table.Key{e.key, e.guardKey()}, func(result machine.StoreResult) {
--- a/pkg/lease/uncertain_test.go
+++ b/pkg/lease/uncertain_test.go
@@ -166,3 +166,36 @@
 		})
 	}
 }
+
+// TestLateWriteIsNotTheNext guards against a lease that is valid for too long: a write
+// that lands late is taken for the next one, which was sent after another node may have
+// read the row.
+func TestLateWriteIsNotTheNext(t *testing.T) {
+	for _, acquisition := range []bool{true, false} {
+		r := newMemoryTable()
+		n := newNode("node")
+		now := start
+		n.tick(now, r)
+		if !acquisition {
+			now = hold(t, n, r)
+		}
+		now = now.Add(lease.DefaultRenewal)
+		late := n.request(t, now, func(now time.Time) { n.Tick(now) })
+		landedAt := now.Add(lease.DefaultRenewal / 2)
+		reads := n.resolve(landedAt, unanswered(late))
+		n.resolve(landedAt, r.answer(reads[0]))
+		r.answer(late)
+		now = now.Add(lease.DefaultRenewal)
+		next := n.request(t, now, func(now time.Time) { n.Tick(now) })
+		reads = n.resolve(now, r.answer(next))
+		n.resolve(now, r.answer(reads[0]))
+		if expiry := landedAt.Add(lease.DefaultTerm); n.Valid(expiry) {
+			t.Errorf("acquisition %t: the lease is valid a term after the row has changed", acquisition)
+		}
+		now = now.Add(lease.DefaultRenewal)
+		n.tick(now, r)
+		if current, held := n.Lease(); !held || !n.Valid(now) {
+			t.Errorf("acquisition %t: lease %+v held %t, want it held and valid after the next write", acquisition, current, held)
+		}
+	}
+}
