Don't run a job again that ended before an outage of the table

What callers would see: a job runs a second time after it has ended done (or starts after it was refused as not run), when its key is sent again to a leader that has just taken over and loses the table.

Cause: a new leader reads the ended jobs after it has become ready. A job submitted in between is admitted, since the write of its record fails if the job has ended. If the table goes away before that write, the job was started without a record once its gate permitted it, although the leader could not know that it is new. Only submissions that came once the table counted as unavailable were held back.

A job that is not accepted now starts without a record, and is asked permission for, only while the leader knows all ended jobs and the job is not one of them. Otherwise it waits for the table, or for its deadline. An accepted job starts as before.

--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -130,9 +130,10 @@
 		l.repeatOutcome(now, e)
 	case e.accepted || e.volatile:
 		l.startVolatile(now, e)
+	case !l.knownNew(e):
 	case e.record.Spec.Idempotent && e.callerWaits:
 		l.requestVolatileStart(now, e)
-	case e.writeIssued || e.writeUncertain || !l.endedJobs.complete || !l.allHeardSince(e.lastRequested):
+	case e.writeIssued || e.writeUncertain || !l.allHeardSince(e.lastRequested):
 	case e.attempt != nil:
 		e.attempt.refused = true
 		l.abort(now, e, "the table is unavailable")
@@ -162,10 +163,18 @@
 	}
 }
 
+// knownNew reports whether the leader knows, without the table, that no earlier job with
+// the ID of a job that is not accepted has ended. A job may have been admitted before the
+// leader knew, since the write of its record would have shown it.
+func (l *leader) knownNew(e *jobEntry) bool {
+	_, ended := l.endedJobs.byID[e.record.ID]
+	return l.endedJobs.complete && !ended
+}
+
 // startVolatile lets an idempotent job start without a durable record if the
-// table is unavailable and the job is accepted or its gate permits it.
+// table is unavailable and the job is accepted, or is new and its gate permits it.
 func (l *leader) startVolatile(now time.Time, e *jobEntry) {
-	if !l.writer.tableUnavailable(now) || !e.record.Spec.Idempotent || (!e.accepted && !e.volatile) {
+	if !l.writer.tableUnavailable(now) || !e.record.Spec.Idempotent || (!e.accepted && (!e.volatile || !l.knownNew(e))) {
 		return
 	}
 	switch {
--- /dev/null
+++ b/internal/gate/repeated_key_test.go
@@ -0,0 +1,51 @@
+package gate_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/job"
+	"github.com/lovageroad/lovageroad/internal/lab"
+	"github.com/lovageroad/lovageroad/pkg/machine"
+)
+
+// TestEndedJobNotRepeated guards against a job that runs again after its end: a new
+// leader loses the store before it has read which jobs have ended, and is then sent the
+// key of one.
+func TestEndedJobNotRepeated(t *testing.T) {
+	for seed := range uint64(20) {
+		r, checker := readyRegion(t, seed, 2, 3)
+		spec := lab.SpecOf(1, true, time.Second)
+		first := r.Callers.Submit(r.Gates[0], "key", spec, time.Minute)
+		runUntil(t, r, 10*time.Second, func() bool { return first.Reply != nil })
+		if first.Reply.Record.State != job.StateDone {
+			t.Fatalf("seed %d: got %+v, want done", seed, first.Reply)
+		}
+		run(t, r, time.Second)
+		former := r.Leader()
+		var again *lab.Call
+		r.AddCheck(func(step lab.Step) error {
+			for _, effect := range step.Effects {
+				if scan, ok := effect.(machine.Scan); ok && again == nil && strings.HasPrefix(string(scan.Prefix), "done/") {
+					r.Store.Down = true
+					again = r.Callers.Submit(step.Process, "key", spec, time.Minute)
+				}
+			}
+			return nil
+		})
+		former.Crash()
+		run(t, r, 30*time.Second)
+		if again == nil {
+			t.Fatalf("seed %d: no leader read the ended jobs", seed)
+		}
+		if n := checker.Starts(first.Job); n != 1 {
+			t.Errorf("seed %d: the job was started %d times, want once", seed, n)
+		}
+		r.Store.Heal()
+		runUntil(t, r, time.Minute, func() bool { return again.Reply != nil })
+		if again.Reply.Record.State != job.StateDone {
+			t.Errorf("seed %d: the repeated request got %+v, want done", seed, again.Reply)
+		}
+	}
+}
