Don't take a pause of a gate for an outage of the table

What callers would see: a job runs twice at a time. A leader that was paused for some seconds starts an idempotent job without a durable record, while its successor starts it, too.

Cause: a leader goes on without the table once a transaction has had no answer, or operations have been failing, for a second. A paused leader counted the pause. At its first step afterwards, before it handled the answers that had come in the meantime and learned that it was deposed, it started the jobs whose start was not durable, at agents that had not heard of its successor. For the same reason it could report outcomes that were not durable.

A gate that makes no step for more than a second (four ticks) was paused: the age of the transaction in flight and of the failures then counts from now on. Within the next second the gate handles what is queued and tries to renew its lease.

Evidence: before the fix TestPausedLeader fails with "attempt 1 of job ... started although its start is not durable".

--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -23,6 +23,10 @@
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
+// maxStepInterval is the time between two steps from which on the process was paused
+// rather than idle: four ticks.
+const maxStepInterval = 4 * DefaultTickInterval
+
 type (
 	// RequestID identifies a request within one gate: of a caller, an operator
 	// or the load balancer.
@@ -127,6 +131,7 @@
 // Step applies one event and returns the effects to carry out, in order.
 func (g *Gate) Step(now time.Time, event machine.Event) []machine.Effect {
 	g.effects = nil
+	g.checkPaused(now)
 	g.now = now
 	g.store.Advance(now)
 	switch e := event.(type) {
@@ -156,6 +161,18 @@
 	return append(g.effects, g.store.Take()...)
 }
 
+// checkPaused notices that the process was paused since its last step. Results that came
+// in that time are still queued, so that it must not count as an outage of the table.
+func (g *Gate) checkPaused(now time.Time) {
+	if g.now.IsZero() || now.Sub(g.now) <= maxStepInterval {
+		return
+	}
+	g.health.resumed(now)
+	if g.leader != nil {
+		g.leader.writer.startedAt = now
+	}
+}
+
 // Leader returns the lease of the region's leader as far as the gate knows it,
 // and whether the gate itself holds it.
 func (g *Gate) Leader() (lease.Lease, bool) {
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -36,6 +36,14 @@
 	h.lastFailure = now
 }
 
+// resumed records that the process was paused until now. A series of failures counts
+// from now on.
+func (h *health) resumed(now time.Time) {
+	if !h.failingSince.IsZero() {
+		h.failingSince = now
+	}
+}
+
 // down reports whether operations have been failing for at least the given
 // time, none has succeeded since, and the last failure is recent.
 func (h *health) down(now time.Time, atLeast time.Duration) bool {
