Don't decide on a job while agents may hold its result

What callers would see: a job that was done, and reported so while the table was away, runs again or ends as cancelled after a change of leader.

Cause: its new leader does not find the job in the table, and learns of it when a caller sends its key again. Then it (1) ended the job at a cancellation without waiting for the lists of the agents, since it waited only for jobs that the table has as queued, and (2) started it again in the step in which the agent's list arrived, since found tasks of former leaders are looked at by the next tick; once an attempt had begun, the result was thrown away.

A cancellation of an idempotent job without an attempt gets no answer in the first 6 s of a leader (adoptionWait), so that its gate asks again. A job is withheld from the policy as soon as a task of a former leader's attempt is found, until the tasks are adopted or 6 s have passed.

Evidence: TestCancelAfterTakeover fails before with "was reported as done and then as cancelled", and also with either half alone. Other tests of internal/gate have the same results as before.

--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -104,6 +104,7 @@
 	if adopted := l.startedAt.Add(adoptionWait); e.volatile && now.Before(adopted) {
 		l.withhold(now, e, adopted)
 	}
+	l.withholdUnrecorded(now, e)
 }
 
 // refuse ends a job that has never run. With permanent set, it can never run.
@@ -214,7 +215,10 @@
 // mayHaveUnreportedResults reports whether agents may hold tasks or results of
 // a job that they have not reported to this new leader yet.
 func (l *leader) mayHaveUnreportedResults(now time.Time, e *jobEntry) bool {
-	if _, held := l.unrecorded[e.record.ID]; held || (e.withheld && now.Sub(l.startedAt) <= adoptionWait) {
+	if _, held := l.unrecorded[e.record.ID]; held {
+		return true
+	}
+	if e.attempt == nil && (e.withheld || e.record.Spec.Idempotent) && now.Sub(l.startedAt) <= adoptionWait {
 		return true
 	}
 	if e.attempt == nil || now.Sub(l.startedAt) > l.gate.config.AgentTimeout {
--- a/internal/gate/repeated_key_test.go
+++ b/internal/gate/repeated_key_test.go
@@ -74,3 +74,36 @@
 		}
 	}
 }
+
+// TestCancelAfterTakeover guards against a job that runs again, or ends as cancelled,
+// although it was done and its caller told so: a new leader is sent the job again and its
+// cancellation before it has heard from the agent that keeps the result.
+func TestCancelAfterTakeover(t *testing.T) {
+	for seed := range uint64(20) {
+		r, checker := readyRegion(t, seed, 2, 1)
+		leader, follower := r.Leader(), r.Gates[0]
+		if follower == leader {
+			follower = r.Gates[1]
+		}
+		r.Store.Down = true
+		run(t, r, time.Minute)
+		spec := lab.SpecOf(1, true, time.Second)
+		done := r.Callers.Submit(leader, "key", spec, time.Minute)
+		runUntil(t, r, 10*time.Second, func() bool { return done.Reply != nil })
+		if done.Reply.Record.State != job.StateDone {
+			t.Fatalf("seed %d: got %+v, want done", seed, done.Reply)
+		}
+		leader.Crash()
+		r.Store.Heal()
+		again := r.Callers.Submit(follower, "key", spec, 0)
+		runUntil(t, r, time.Minute, func() bool { return again.Reply != nil })
+		r.Callers.Cancel(follower, "key")
+		run(t, r, time.Minute)
+		if err := checker.CheckFinal(); err != nil {
+			t.Errorf("seed %d: %v", seed, err)
+		}
+		if n := checker.Starts(done.Job); n != 1 {
+			t.Errorf("seed %d: the job was started %d times, want once", seed, n)
+		}
+	}
+}
--- a/internal/gate/unrecorded.go
+++ b/internal/gate/unrecorded.go
@@ -34,6 +34,18 @@
 		l.unrecorded[t.Task.Job] = tasks
 	}
 	tasks[t.Task] = &unrecordedTask{worker: u.worker.ID, state: t, foundAt: l.gate.now}
+	if e, ok := l.jobs.Get(t.Task.Job); ok {
+		l.withholdUnrecorded(l.gate.now, e)
+	}
+}
+
+// withholdUnrecorded keeps a job from a start while it has unrecorded tasks, with
+// which it may go on or have ended.
+func (l *leader) withholdUnrecorded(now time.Time, e *jobEntry) {
+	_, held := l.unrecorded[e.record.ID]
+	if held && e.admitted && e.attempt == nil && !e.record.State.Final() {
+		l.withhold(now, e, now.Add(adoptionWait))
+	}
 }
 
 // setUnrecordedResult sets the result of an unrecorded task. It returns false
