Ignore the delayed list of a former process of an agent

What callers would see: jobs wait for a worker that is up, or run a second time, after an agent was restarted while its answer to a new leader was delayed.

Cause: a leader took any list of another incarnation for one of a newer process. A list that the former process had sent, and that arrived after its successor's, replaced the successor: tasks that the successor ran counted as gone, so that their jobs were started again, and orders went to an incarnation that does not exist. The successor was remembered as replaced and never fenced again, so that its worker was lost for the rest of the epoch.

A leader numbers its fences and addresses each to the incarnation that announced itself; the list carries the number. A list that answers a fence before the last one answered is ignored. A fence to a process is sent after its announcement, so after the end of its predecessor, which can therefore have answered lower numbers only. Fences and lists of older versions have no number and are handled as before.

--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -60,10 +60,11 @@
 	}
 }
 
-// fence accepts a new leader, unless it has an older epoch or older settings, and
-// sends it the state of all tasks. Older leaders are rejected from then on.
+// fence accepts a new leader, unless it has an older epoch or older settings or asks
+// another incarnation, and sends it the state of all tasks. Older leaders are rejected from then on.
 func (a *Agent) fence(now time.Time, from machine.Node, m wire.Fence) {
-	if m.Epoch < a.epoch || m.Revision < a.revision {
+	forOther := m.Incarnation != 0 && m.Incarnation != a.config.Incarnation
+	if m.Epoch < a.epoch || m.Revision < a.revision || forOther {
 		a.send(from, a.announcement())
 		return
 	}
@@ -76,6 +77,7 @@
 		Incarnation: a.config.Incarnation,
 		Epoch:       a.epoch,
 		Draining:    a.draining,
+		Fence:       m.Number,
 	}
 	for _, t := range sortedTasks(a.tasks) {
 		holding.Tasks = append(holding.Tasks, wire.TaskState{Task: t.id, Share: t.share, Phase: t.phase, Result: t.result})
--- a/internal/gate/detector.go
+++ b/internal/gate/detector.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/floor"
-	"github.com/lovageroad/lovageroad/internal/wire"
 	"github.com/lovageroad/lovageroad/pkg/membership"
 )
 
@@ -42,7 +41,7 @@
 	for _, id := range l.detector.Probes() {
 		if u, ok := l.upstreams[id]; ok && !now.Before(u.nextProbe) {
 			u.nextProbe = now.Add(probeInterval)
-			l.gate.send(u.node, wire.Fence{Epoch: l.epoch, Revision: l.gate.settings.revision()})
+			l.sendFence(u.node, u.incarnation)
 		}
 	}
 }
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -33,27 +33,31 @@
 	// scanAfter is the key after which the scan goes on, startedAt when the
 	// leader began, and lastLost when it last gave up an agent. upstreams holds
 	// the fenced agents with their workers, and replaced the incarnations that
-	// were superseded and are not fenced again. orphans are the tasks to be
+	// were superseded and are not fenced again. lastFence is the number of the
+	// last fence, answeredFences holds the last one that each worker's agent has
+	// answered. orphans are the tasks to be
 	// stopped that belong to no live attempt; unrecorded are the tasks of
 	// former leaders that may belong to an attempt of which the table has no
 	// record.
 	leader struct {
-		gate       *Gate
-		epoch      lease.Epoch
-		policy     *trackedPolicy
-		writer     *writer
-		endedJobs  *endedJobIndex
-		ready      bool
-		scanAfter  table.Key
-		scanning   bool
-		startedAt  time.Time
-		lastLost   time.Time
-		upstreams  map[floor.WorkerID]*upstream
-		detector   *agentDetector
-		replaced   map[agentIncarnation]bool
-		jobs       *orderedMap[job.ID, *jobEntry]
-		orphans    map[wire.TaskID]*orphanedTask
-		unrecorded map[job.ID]map[wire.TaskID]*unrecordedTask
+		gate           *Gate
+		epoch          lease.Epoch
+		policy         *trackedPolicy
+		writer         *writer
+		endedJobs      *endedJobIndex
+		ready          bool
+		scanAfter      table.Key
+		scanning       bool
+		startedAt      time.Time
+		lastLost       time.Time
+		upstreams      map[floor.WorkerID]*upstream
+		detector       *agentDetector
+		replaced       map[agentIncarnation]bool
+		lastFence      wire.FenceNumber
+		answeredFences map[floor.WorkerID]wire.FenceNumber
+		jobs           *orderedMap[job.ID, *jobEntry]
+		orphans        map[wire.TaskID]*orphanedTask
+		unrecorded     map[job.ID]map[wire.TaskID]*unrecordedTask
 	}
 
 	// jobEntry is the leader's state of a job. record is the record as it is to
@@ -114,15 +118,16 @@
 
 func newLeader(g *Gate, epoch lease.Epoch) *leader {
 	l := &leader{
-		gate:       g,
-		epoch:      epoch,
-		policy:     &trackedPolicy{Policy: g.config.Policy()},
-		upstreams:  make(map[floor.WorkerID]*upstream),
-		detector:   newDetector(),
-		replaced:   make(map[agentIncarnation]bool),
-		jobs:       newOrderedMap[job.ID, *jobEntry](),
-		orphans:    make(map[wire.TaskID]*orphanedTask),
-		unrecorded: make(map[job.ID]map[wire.TaskID]*unrecordedTask),
+		gate:           g,
+		epoch:          epoch,
+		policy:         &trackedPolicy{Policy: g.config.Policy()},
+		upstreams:      make(map[floor.WorkerID]*upstream),
+		detector:       newDetector(),
+		replaced:       make(map[agentIncarnation]bool),
+		answeredFences: make(map[floor.WorkerID]wire.FenceNumber),
+		jobs:           newOrderedMap[job.ID, *jobEntry](),
+		orphans:        make(map[wire.TaskID]*orphanedTask),
+		unrecorded:     make(map[job.ID]map[wire.TaskID]*unrecordedTask),
 	}
 	l.writer = newWriter(l)
 	l.endedJobs = newEndedJobIndex(l)
--- a/internal/gate/upstreams.go
+++ b/internal/gate/upstreams.go
@@ -49,7 +49,7 @@
 	if !ok || u.node != from || u.incarnation != m.Incarnation || m.Epoch < l.epoch {
 		fenceable := l.ready && m.Revision <= l.gate.settings.revision()
 		if fenceable && !l.replaced[incarnationOf(m.Worker.ID, m.Incarnation)] {
-			l.gate.send(from, wire.Fence{Epoch: l.epoch, Revision: l.gate.settings.revision()})
+			l.sendFence(from, m.Incarnation)
 		}
 		return false
 	}
@@ -64,6 +64,12 @@
 	return true
 }
 
+// sendFence fences an incarnation of an agent and asks which tasks it holds.
+func (l *leader) sendFence(to machine.Node, incarnation wire.Incarnation) {
+	l.lastFence++
+	l.gate.send(to, wire.Fence{Epoch: l.epoch, Revision: l.gate.settings.revision(), Number: l.lastFence, Incarnation: incarnation})
+}
+
 // markDraining excludes a draining agent from new work, and aborts the attempts
 // on it that have not begun to run.
 func (l *leader) markDraining(now time.Time, u *upstream) {
@@ -89,7 +95,8 @@
 // handleHeldTasks takes over a fenced agent and the tasks that it holds. A new
 // incarnation at the same address may still hold the tasks of the former one,
 // since the runner outlives its agent. So the former one is given up as lost
-// only if the address has changed.
+// only if the address has changed. An answer to an earlier fence than the last
+// one answered was delayed: it may be of a former incarnation.
 func (l *leader) handleHeldTasks(now time.Time, from machine.Node, m wire.HeldTasks) {
 	if m.Epoch != l.epoch || l.replaced[incarnationOf(m.Worker.ID, m.Incarnation)] {
 		return
@@ -99,6 +106,10 @@
 		l.recordContact(now, u)
 		return
 	}
+	if m.Fence != 0 && m.Fence <= l.answeredFences[m.Worker.ID] {
+		return
+	}
+	l.answeredFences[m.Worker.ID] = m.Fence
 	if ok {
 		l.replaced[incarnationOf(u.worker.ID, u.incarnation)] = true
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -84,20 +84,28 @@
 		Revision Revision     `cbor:"3,keyasint,omitempty"`
 	}
 
+	// FenceNumber numbers the fences of one leader from one.
+	FenceNumber uint64
+
 	// Fence raises an agent's epoch and asks which tasks it holds. From then on
-	// the agent refuses orders of earlier epochs.
+	// the agent refuses orders of earlier epochs. Only the given incarnation answers;
+	// zero stands for any.
 	Fence struct {
-		Epoch    lease.Epoch `cbor:"1,keyasint"`
-		Revision Revision    `cbor:"2,keyasint"`
+		Epoch       lease.Epoch `cbor:"1,keyasint"`
+		Revision    Revision    `cbor:"2,keyasint"`
+		Number      FenceNumber `cbor:"3,keyasint,omitempty"`
+		Incarnation Incarnation `cbor:"4,keyasint,omitempty"`
 	}
 
-	// HeldTasks answers a Fence with all tasks that the agent holds.
+	// HeldTasks answers a Fence with all tasks that the agent holds. Fence is the
+	// number of that fence, zero if it had none.
 	HeldTasks struct {
 		Worker      floor.Worker `cbor:"1,keyasint"`
 		Incarnation Incarnation  `cbor:"2,keyasint"`
 		Epoch       lease.Epoch  `cbor:"3,keyasint"`
 		Tasks       []TaskState  `cbor:"4,keyasint"`
 		Draining    bool         `cbor:"5,keyasint,omitempty"`
+		Fence       FenceNumber  `cbor:"6,keyasint,omitempty"`
 	}
 
 	// Order is the header of every order from a leader to an agent. An agent
