--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -83,7 +83,8 @@
 
 // admit asks the policy to admit a job, and writes its record or refuses it. A
 // job that no worker can hold is dropped without a refusal until the floor is
-// known.
+// known. A job whose gate permitted a start without a durable record may run
+// under a former leader, so that a new one withholds it for the adoptionWait.
 func (l *leader) admit(now time.Time, e *jobEntry) {
 	e.withheld = false
 	e.admitted = true
@@ -100,6 +101,10 @@
 		return
 	}
 	l.save(e)
+	if adopted := l.startedAt.Add(adoptionWait); e.volatile && now.Before(adopted) {
+		l.withhold(now, e, adopted)
+	}
+	l.withholdUnrecorded(now, e)
 }
 
 // refuse ends a job that has never run. With permanent set, it can never run.
@@ -130,9 +135,10 @@
 		l.repeatOutcome(now, e)
 	case e.accepted || e.volatile:
 		l.startVolatile(now, e)
+	case !l.knownNew(e):
 	case e.record.Spec.Idempotent && e.callerWaits:
 		l.requestVolatileStart(now, e)
-	case e.writeIssued || e.writeUncertain || !l.endedJobs.complete || !l.allHeardSince(e.lastRequested):
+	case e.writeIssued || e.writeUncertain || !l.allHeardSince(e.lastRequested):
 	case e.attempt != nil:
 		e.attempt.refused = true
 		l.abort(now, e, "the table is unavailable")
@@ -162,10 +168,18 @@
 	}
 }
 
+// knownNew reports whether the leader knows, without the table, that no earlier job with
+// the ID of a job that is not accepted has ended. A job may have been admitted before the
+// leader knew, since the write of its record would have shown it.
+func (l *leader) knownNew(e *jobEntry) bool {
+	_, ended := l.endedJobs.byID[e.record.ID]
+	return l.endedJobs.complete && !ended
+}
+
 // startVolatile lets an idempotent job start without a durable record if the
-// table is unavailable and the job is accepted or its gate permits it.
+// table is unavailable and the job is accepted, or is new and its gate permits it.
 func (l *leader) startVolatile(now time.Time, e *jobEntry) {
-	if !l.writer.tableUnavailable(now) || !e.record.Spec.Idempotent || (!e.accepted && !e.volatile) {
+	if !l.writer.tableUnavailable(now) || !e.record.Spec.Idempotent || (!e.accepted && (!e.volatile || !l.knownNew(e))) {
 		return
 	}
 	switch {
@@ -201,7 +215,10 @@
 // mayHaveUnreportedResults reports whether agents may hold tasks or results of
 // a job that they have not reported to this new leader yet.
 func (l *leader) mayHaveUnreportedResults(now time.Time, e *jobEntry) bool {
-	if _, held := l.unrecorded[e.record.ID]; held || (e.withheld && now.Sub(l.startedAt) <= adoptionWait) {
+	if _, held := l.unrecorded[e.record.ID]; held {
+		return true
+	}
+	if e.attempt == nil && (e.withheld || e.record.Spec.Idempotent) && now.Sub(l.startedAt) <= adoptionWait {
 		return true
 	}
 	if e.attempt == nil || now.Sub(l.startedAt) > l.gate.config.AgentTimeout {
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -17,8 +17,6 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"strconv"
 	"time"
 
 	"github.com/lovageroad/lovageroad/pkg/machine"
@@ -42,7 +40,8 @@
 	Epoch uint64
 
 	// Lease is the content of the row of a lease. Holder is empty after a
-	// resignation. Renewals counts the writes, so that each renewal changes the row.
+	// resignation. Renewals increases with each write that a node attempts, so that
+	// each renewal changes the row and no two attempts have the same content.
 	Lease struct {
 		Holder   machine.Node `json:"holder"`
 		Epoch    Epoch        `json:"epoch"`
@@ -55,6 +54,7 @@
 		Term    time.Duration
 		Renewal time.Duration
 		Changed func(current Lease, held bool)
+		Log     func(Event)
 
 		// AcquireDelay returns the extra time that the node waits before it acquires
 		// a lease that is free or has expired.
@@ -83,6 +83,13 @@
 		held         bool
 		inFlight     bool
 		resigned     bool
+
+		// lastProposed is Renewals of the last write that this node attempted.
+		lastProposed uint64
+
+		// mayBeReleased reports that a release of the known version of the row was
+		// sent and may be durable, or become so.
+		mayBeReleased bool
 	}
 )
 
@@ -118,6 +125,7 @@
 		Term:         DefaultTerm,
 		Renewal:      DefaultRenewal,
 		Changed:      func(Lease, bool) {},
+		Log:          func(Event) {},
 		AcquireDelay: func() time.Duration { return 0 },
 	}
 	for _, option := range options {
@@ -158,8 +166,8 @@
 }
 
 // Resign releases the lease, if it is held, and stops the elector from acquiring
-// it again. The node keeps holding the lease until the release is durable, since
-// no other node can acquire it before.
+// it again. The node keeps holding the lease until it knows that the release is
+// durable, but the lease is not valid while the release may be.
 func (e *Elector) Resign(now time.Time) {
 	e.resigned = true
 	e.nextTick = now
@@ -173,9 +181,10 @@
 }
 
 // Valid reports whether this node holds the lease and no challenger can have
-// acquired it yet: the last successful renewal was sent less than a term ago.
+// acquired it yet: the last successful renewal was sent less than a term ago, and no
+// release has been sent that may be durable.
 func (e *Elector) Valid(now time.Time) bool {
-	return e.held && now.Sub(e.renewedAt) < e.config.Term
+	return e.held && !e.mayBeReleased && now.Sub(e.renewedAt) < e.config.Term
 }
 
 // Released reports whether this node neither holds the lease nor is named in its row
@@ -184,16 +193,16 @@
 	return !e.held && e.lease.Holder != e.node
 }
 
-// StepDown makes this node stop acting as the holder. Unless it has resigned, its next
-// Tick tries to acquire the lease again with a higher epoch. If a renewal is in flight
-// and succeeds, the node is the holder again in the same epoch. StepDown has no effect
-// on a node that does not hold the lease.
+// StepDown makes this node stop acting as the holder for good in this epoch. Unless it
+// has resigned, its next Tick tries to acquire the lease again with a higher epoch.
+// StepDown has no effect on a node that does not hold the lease.
 func (e *Elector) StepDown(now time.Time) {
 	if !e.held {
 		return
 	}
 	e.nextTick = now
 	e.held = false
+	e.log(SteppedDown, e.lease, nil)
 	e.config.Changed(e.lease, false)
 }
 
@@ -204,6 +213,7 @@
 		return
 	}
 	e.nextTick = now
+	e.log(NewerObserved, seen, nil)
 	e.update(seen, table.Absent)
 }
 
@@ -272,6 +282,7 @@
 	}
 	e.confirmedAt = now
 	before, held := e.lease, e.held
+	e.mayBeReleased = e.mayBeReleased && version == e.version
 	e.lease, e.version = current, version
 	e.held = e.held && current.Holder == e.node && current.Epoch == before.Epoch
 	if e.held != held || before.Holder != current.Holder || before.Epoch != current.Epoch {
@@ -279,88 +290,6 @@
 	}
 }
 
-func (e *Elector) write() {
-	proposed := Lease{Holder: e.node, Epoch: e.lease.Epoch, Renewals: e.lease.Renewals + 1}
-	if !e.held {
-		proposed.Epoch++
-	}
-	e.inFlight = true
-	e.writeSentAt = e.store.Now()
-	e.commit(proposed, !e.held, func(result machine.StoreResult) {
-		e.inFlight = false
-		e.finishWrite(proposed, result)
-	})
-}
-
-// release writes a lease without a holder.
-func (e *Elector) release() {
-	released := Lease{Epoch: e.lease.Epoch, Renewals: e.lease.Renewals + 1}
-	e.inFlight = true
-	e.commit(released, false, func(result machine.StoreResult) {
-		e.inFlight = false
-		if result.Err == nil {
-			e.update(released, result.Rows[0].Version)
-			return
-		}
-		e.read()
-	})
-}
-
-func (e *Elector) commit(proposed Lease, newEpoch bool, done func(machine.StoreResult)) {
-	value, err := json.Marshal(proposed)
-	if err != nil {
-		return
-	}
-	txn := table.Txn{
-		Checks: []table.Check{{Key: e.key, Version: e.version}},
-		Writes: []table.Write{{Key: e.key, Value: value}},
-	}
-	if newEpoch {
-		epoch := strconv.FormatUint(uint64(proposed.Epoch), 10)
-		txn.Writes = append(txn.Writes, table.Write{Key: e.guardKey(), Value: []byte(epoch)})
-	}
-	e.store.Commit(txn, done)
-}
-
-func (e *Elector) finishWrite(proposed Lease, result machine.StoreResult) {
-	var rejected *table.RejectedError
-	switch {
-	case result.Err == nil && len(result.Rows) > 1:
-		e.applyWrite(proposed, result.Rows[0].Version, result.Rows[1].Version)
-	case result.Err == nil:
-		e.applyWrite(proposed, result.Rows[0].Version, e.guardVersion)
-	case errors.As(result.Err, &rejected):
-		return
-	default:
-		e.resolveWrite(proposed)
-	}
-}
-
-// resolveWrite reads the row after a conflict, or a write with an uncertain outcome,
-// to find out whether the write was applied.
-func (e *Elector) resolveWrite(proposed Lease) {
-	e.inFlight = true
-	e.store.Read([]table.Key{e.key, e.guardKey()}, func(result machine.StoreResult) {
-		e.inFlight = false
-		if stored, version, guard, ok := e.decodeRows(result.Rows); result.Err == nil && ok && stored == proposed {
-			e.applyWrite(proposed, version, guard)
-			return
-		}
-		e.applyRead(result)
-	})
-}
-
-// applyWrite sets the known state of the lease after a successful write by this node.
-func (e *Elector) applyWrite(current Lease, version, guard table.Version) {
-	before, held := e.lease, e.held
-	e.lease, e.version, e.guardVersion, e.held = current, version, guard, held || !e.resigned
-	e.confirmedAt, e.unchangedFor = e.store.Now(), 0
-	e.renewedAt = e.writeSentAt
-	if !held || before.Epoch != current.Epoch {
-		e.config.Changed(e.lease, e.held)
-	}
-}
-
 func (e *Elector) guardKey() table.Key {
 	return e.key + "/epoch"
 }
