Log which report changed the leader's belief about an agent

After a takeover the log did not tell whether an agent's list was built before the leader's epoch, whether a report of a former agent process was used, or where the other run of a stray task was.

"report ignored" names a report that is older than one already applied. "report under another epoch" says how long a gate held such a report before the leader used it.

No change of behaviour; the tests of internal/region and internal/serve pass.

--- a/internal/region/log.go
+++ b/internal/region/log.go
@@ -24,6 +24,11 @@
 	Detail  string
 	Age     time.Duration
 	Count   int
+
+	// ReportEpoch, ReportSeq and Incarnation are the report's that led to the entry.
+	ReportEpoch lease.Epoch
+	ReportSeq   uint64
+	Incarnation control.Incarnation
 }
 
 // KeyValues returns the epoch and the fields that are set, as alternating names and
@@ -46,6 +51,9 @@
 	add(l.Detail != "", "detail", l.Detail)
 	add(l.Age != 0, "age", l.Age.Round(time.Millisecond))
 	add(l.Count != 0, "count", l.Count)
+	add(l.ReportSeq != 0, "reportEpoch", l.ReportEpoch)
+	add(l.ReportSeq != 0, "reportSeq", l.ReportSeq)
+	add(l.Incarnation != 0, "incarnation", l.Incarnation)
 	return keyValues
 }
 
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -136,11 +136,12 @@
 		w = c.newWorker(now, r.Agent)
 	}
 	if r.Incarnation == w.incarnation && r.Seq <= w.reportSeq {
+		c.logReport(now, "report ignored", w, r, "older than one applied")
 		return false
 	}
 	if r.Incarnation != w.incarnation {
+		c.logReport(now, "agent joined", w, r, "")
 		w.startIncarnation(r.Incarnation)
-		c.log(LogEntry{Event: "agent joined", Worker: w.id, Count: len(r.Tasks)})
 	}
 	w.reportSeq = r.Seq
 	w.runnerUnknown = r.Runner == nil
@@ -156,6 +157,14 @@
 	return true
 }
 
+// logReport logs what a report led to, with the age of the epoch.
+func (c *Core) logReport(now time.Time, event string, w *worker, r control.Report, outcome string) {
+	c.log(LogEntry{
+		Event: event, Worker: w.id, Outcome: outcome, Age: now.Sub(c.began), Count: len(r.Tasks),
+		ReportEpoch: r.Epoch, ReportSeq: r.Seq, Incarnation: r.Incarnation,
+	})
+}
+
 // startIncarnation records that the agent was started again. The new process has
 // received no orders.
 func (w *worker) startIncarnation(incarnation control.Incarnation) {
@@ -244,136 +253,3 @@
 		cmp.Compare(a.Index, b.Index),
 	)
 }
-
-// reconcileTasks compares the tasks that the runner has with those that it should
-// have.
-func (c *Core) reconcileTasks(now time.Time, w *worker, r control.Report) {
-	present := make(map[work.TaskID]work.Run, len(r.Tasks))
-	for _, t := range r.Tasks {
-		present[t.ID] = max(present[t.ID], t.Run)
-		c.reconcileTask(now, w, t)
-	}
-	for _, id := range w.taskIDs() {
-		p := w.placements[id]
-		if run, ok := present[id]; ok && run == p.run {
-			continue
-		}
-		// The run has ended if the runner listed it before, or if the agent has
-		// received the order to start it.
-		if p.reported || p.sentSeq != 0 && r.Applied >= p.sentSeq {
-			c.removeRun(now, w, id, p.run, "gone")
-		}
-	}
-	w.awaitingReport = false
-}
-
-// reconcileTask applies the reported state of one task at a runner. The task may be
-// one that this leader ordered, one that an earlier leader ordered, or one that
-// must stop.
-func (c *Core) reconcileTask(now time.Time, w *worker, r control.Task) {
-	p := w.placements[r.ID]
-	if p == nil || p.run != r.Run {
-		p = c.addUnordered(now, w, r)
-	}
-	p.reported = true
-	j, s, t := c.find(r.ID)
-	if t == nil || t.worker != w || t.run != r.Run {
-		return
-	}
-	t.reported = true
-	c.markBegun(now, j)
-	t.percent = r.Percent
-	if r.Checkpoint != "" && s.spec.Checkpoints {
-		s.setCheckpoint(t, r.Checkpoint)
-	}
-}
-
-// setCheckpoint records the saved progress of a task. For a gang it applies to all
-// members.
-func (s *step) setCheckpoint(t *task, checkpoint work.Checkpoint) {
-	if !s.spec.Gang {
-		t.checkpoint = checkpoint
-		return
-	}
-	for i := range s.tasks {
-		s.tasks[i].checkpoint = checkpoint
-	}
-}
-
-// addUnordered adds the placement of a run that the worker has but that this leader
-// did not order there. It adopts the run if the task is waiting and not placed
-// elsewhere. Otherwise the run is orphaned and will be stopped.
-func (c *Core) addUnordered(now time.Time, w *worker, r control.Task) *placement {
-	j, s, t := c.find(r.ID)
-	p := &placement{run: r.Run, orphaned: true}
-	if t != nil {
-		p.request = s.spec.Request()
-	}
-	if w.placements[r.ID] != nil {
-		c.removePlacement(w, r.ID)
-	}
-	adopt := t != nil && !j.hasEnded() && !t.done && t.worker == nil && r.Run > t.run && c.placementCount[r.ID] == 0
-	c.addPlacement(w, r.ID, p)
-	if !adopt {
-		c.log(LogEntry{Event: "stray task", Task: r.ID, Run: r.Run, Worker: w.id})
-		w.markOrdersPending()
-		return p
-	}
-	p.orphaned = false
-	t.worker, t.run, t.reported, t.stopping, t.orderedAt = w, r.Run, true, false, now
-	c.log(LogEntry{Event: "task adopted", Task: r.ID, Run: r.Run, Worker: w.id})
-	return p
-}
-
-// addPlacement records that a task uses capacity of a worker.
-func (c *Core) addPlacement(w *worker, id work.TaskID, p *placement) {
-	w.placements[id] = p
-	c.placementCount[id]++
-}
-
-// removePlacement records that a task no longer uses capacity of a worker.
-func (c *Core) removePlacement(w *worker, id work.TaskID) {
-	delete(w.placements, id)
-	if c.placementCount[id]--; c.placementCount[id] == 0 {
-		delete(c.placementCount, id)
-	}
-}
-
-// removeRun frees the capacity of a run and lets its task wait again. The other
-// members of its gang are stopped.
-func (c *Core) removeRun(now time.Time, w *worker, id work.TaskID, run work.Run, reason string) {
-	p := w.placements[id]
-	if p == nil || p.run != run {
-		return
-	}
-	c.removePlacement(w, id)
-	c.replan = true
-	_, s, t := c.find(id)
-	if t == nil || t.worker != w || t.run != run {
-		return
-	}
-	t.worker, t.reported, t.stopping, t.percent = nil, false, false, 0
-	if !t.done {
-		c.log(LogEntry{Event: "task waits again", Task: id, Run: run, Worker: w.id, Outcome: reason, Age: now.Sub(t.orderedAt)})
-		c.stopGang(s, run)
-	}
-}
-
-// applyRefusal records that a run did not start and never will. Its task waits for
-// the back-off and then prefers other workers.
-func (c *Core) applyRefusal(now time.Time, w *worker, r control.Refusal) {
-	_, _, t := c.find(r.Task)
-	if t != nil && t.worker == w && t.run == r.Run && !t.stopping {
-		t.retryAt = now.Add(c.config.RefusalBackoff)
-		t.avoidWorker(w.id)
-	}
-	c.removeRun(now, w, r.Task, r.Run, "refused: "+r.Reason)
-}
-
-// avoidWorker makes the task run on other workers as long as they have free
-// capacity.
-func (t *task) avoidWorker(id control.AgentID) {
-	if !slices.Contains(t.avoid, id) {
-		t.avoid = append(t.avoid, id)
-	}
-}
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -244,14 +244,15 @@
 // waits at most report.Wait until this gate knows a newer leader than the agent
 // does, and then, unless that is this gate itself, names the leader.
 func (g *Gate) Report(ctx context.Context, report control.Report) control.Orders {
+	received := boottime.Now()
 	if l := g.localLeader(); l != nil {
-		if orders, ok := l.report(ctx, report); ok {
+		if orders, ok := l.report(ctx, report, received); ok {
 			return orders
 		}
 	}
 	g.awaitLeaderChange(ctx, report)
 	if l := g.localLeader(); l != nil {
-		if orders, ok := l.report(ctx, report); ok {
+		if orders, ok := l.report(ctx, report, received); ok {
 			return orders
 		}
 	}
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -308,10 +308,16 @@
 // one already applied, or is followed by a newer one, is answered at once. It
 // returns false if this gate does not lead, or has not loaded the region's state
 // within report.Wait.
-func (l *leader) report(ctx context.Context, report control.Report) (control.Orders, bool) {
+//
+// received is when the gate received the report.
+func (l *leader) report(ctx context.Context, report control.Report, received time.Time) (control.Orders, bool) {
 	if !l.awaitLoaded(ctx, report.Wait) {
 		return control.Orders{}, false
 	}
+	if report.Epoch != l.epoch {
+		klog.InfoS("report under another epoch", "epoch", l.epoch, "worker", report.Agent, "reportEpoch", report.Epoch,
+			"reportSeq", report.Seq, "incarnation", report.Incarnation, "held", boottime.Now().Sub(received).Round(time.Millisecond))
+	}
 	var p poll
 	answerNow := true
 	l.update(func(now time.Time, core *region.Core) {
