Use only reports that were made under the leader's epoch

Callers could see a task run twice after a change of leader. Gates hold reports of agents that look for a leader for up to 0.6 s, twice, and a link may hold one longer. Between sending such a report and its use by the new leader, the agent may accept a start of the former leader in the answer to another report. The list in the report lacks that start. The new leader took the list as complete, settled, and started the task elsewhere.

Now a leader uses nothing of a report that was made under another epoch: neither the list, nor RunnerGone or a drained runner (which remove the agent's row), nor results, nor another incarnation of the runner. It answers at once with its epoch only and no runner, which an agent doesn't apply. The agent adopts the epoch, rejects all orders of lower ones from then on (internal/runner/orders.go), and reports at once; the list in that report is complete. This costs one round trip for each agent after a takeover. A gate doesn't lead an agent that obeys a later epoch.

Fencing tokens need the number of the agent's incarnation in the first answer already, so that the leader numbers incarnations when it first hears from them.

TestReportUnderAnotherEpoch checks in a gate that both answers come without waiting; before the fix the first answer held orders, and an agent of a later epoch was led. The harness of internal/region gave every report the epoch 1, also under later leaders. Its agents now report the epoch that they have orders from, learn of a new one as described, and check that the first answer holds no orders; no test changed.

--- a/internal/region/bench_test.go
+++ b/internal/region/bench_test.go
@@ -57,7 +57,7 @@
 				r.Tasks = tasksOf[id]
 				h.core.Report(h.now, r)
 				h.core.Plan(h.now)
-				h.core.Orders(h.now, id)
+				h.core.Orders(h.now, id, r.Incarnation)
 			}
 		})
 	}
--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -32,13 +32,19 @@
 	return w != nil && w.ordersPending
 }
 
-// Orders returns the orders for an agent. Sending them renews the hold of all tasks
-// on its runner, unless the agent doesn't know its runner.
-func (c *Core) Orders(now time.Time, agent control.AgentID) control.Orders {
+// Orders returns the answer to a report of an incarnation of an agent. It holds
+// orders if a report of this incarnation under this epoch was the last one applied.
+// Sending orders renews the hold of all tasks on the runner, unless the agent doesn't
+// know its runner. Otherwise the answer only tells the agent the epoch: without a
+// runner, the agent does not apply it.
+func (c *Core) Orders(now time.Time, agent control.AgentID, incarnation control.Incarnation) control.Orders {
 	w := c.workers[agent]
 	if w == nil {
 		return control.Orders{Leads: true, Epoch: c.epoch}
 	}
+	if fence, _ := w.hear(incarnation); fence != w.fence {
+		return control.Orders{Leads: true, Epoch: c.epoch, Fence: fence, ReportWait: c.reportWait()}
+	}
 	if !w.runnerUnknown {
 		w.holdExpiry = now.Add(c.holdTimeout())
 	}
--- a/internal/region/region_test.go
+++ b/internal/region/region_test.go
@@ -32,8 +32,11 @@
 	wallClockOffset time.Duration
 	table           *platform.Memory
 	ordersSeq       map[control.AgentID]control.OrdersSeq
-	reportSeq       uint64
-	runs            map[work.TaskID]work.Run
+
+	// epochs are the epochs from which the agents have last received orders.
+	epochs    map[control.AgentID]lease.Epoch
+	reportSeq uint64
+	runs      map[work.TaskID]work.Run
 }
 
 func testConfiguration() *configuration.Configuration {
@@ -48,7 +51,8 @@
 	t.Helper()
 	h := &harness{
 		t: t, now: time.Unix(1000, 0), table: platform.NewMemory(),
-		ordersSeq: make(map[control.AgentID]control.OrdersSeq), runs: make(map[work.TaskID]work.Run),
+		ordersSeq: make(map[control.AgentID]control.OrdersSeq), epochs: make(map[control.AgentID]lease.Epoch),
+		runs: make(map[work.TaskID]work.Run),
 	}
 	h.lead(1)
 	return h
@@ -90,16 +94,22 @@
 }
 
 // report sends the report of an agent with eight accelerators, after the given
-// change to it, and returns the orders.
+// change to it, and returns the orders. An agent that obeys another epoch first learns
+// of the leader's from the answer to a report, as it does after a takeover.
 func (h *harness) report(agent control.AgentID, change func(*control.Report)) control.Orders {
 	h.t.Helper()
-	r := h.newReport(agent)
-	if change != nil {
-		change(&r)
+	r := h.changedReport(agent, change)
+	if !h.core.Report(h.now, r) {
+		answer := h.core.Orders(h.now, agent, r.Incarnation)
+		if answer.Seq != 0 || answer.Runner != (control.RunnerID{}) || len(answer.Starts)+len(answer.Stops) > 0 {
+			h.t.Fatalf("orders for an agent of epoch %d: %+v", r.Epoch, answer)
+		}
+		h.epochs[agent] = answer.Epoch
+		r = h.changedReport(agent, change)
+		h.core.Report(h.now, r)
 	}
-	h.core.Report(h.now, r)
 	h.core.Tick(h.now)
-	orders := h.core.Orders(h.now, agent)
+	orders := h.core.Orders(h.now, agent, r.Incarnation)
 	h.ordersSeq[agent] = orders.Seq
 	for _, start := range orders.Starts {
 		h.runs[start.Task] = start.Run
@@ -107,11 +117,20 @@
 	return orders
 }
 
+// changedReport returns a new report after the given change, if there is one.
+func (h *harness) changedReport(agent control.AgentID, change func(*control.Report)) control.Report {
+	r := h.newReport(agent)
+	if change != nil {
+		change(&r)
+	}
+	return r
+}
+
 // newReport returns the report of an agent whose runner has no tasks.
 func (h *harness) newReport(agent control.AgentID) control.Report {
 	h.reportSeq++
 	return control.Report{
-		Agent: agent, Incarnation: 1, Seq: h.reportSeq, Epoch: 1, Applied: h.ordersSeq[agent], Complete: true,
+		Agent: agent, Incarnation: 1, Seq: h.reportSeq, Epoch: h.epochs[agent], Applied: h.ordersSeq[agent], Complete: true,
 		Runner: &control.Runner{
 			ID: control.RunnerID{Name: "runner-" + string(agent), Incarnation: 1}, Pool: pool, Rack: "r1",
 			Capacity: work.Resources{Processor: 32000, Memory: 65536, Accelerators: 8},
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -13,15 +13,16 @@
 type (
 	// worker is an agent and its runner, as the leader knows them.
 	worker struct {
-		id          control.AgentID
-		incarnation control.Incarnation
-		reportSeq   uint64
+		id control.AgentID
 
-		// fence is the number of incarnations of the agent that this leader has
-		// seen. It goes into fencing tokens.
-		fence     uint16
-		ordersSeq control.OrdersSeq
-		runner    *control.Runner
+		// incarnations are the agent's incarnations in the order in which this leader
+		// first heard from them. fence is the number of the one whose report was
+		// applied last, from 1.
+		incarnations []control.Incarnation
+		fence        uint16
+		reportSeq    uint64
+		ordersSeq    control.OrdersSeq
+		runner       *control.Runner
 
 		// listComplete and runnerGone are Complete and RunnerGone of the last report
 		// about the runner.
@@ -128,20 +129,28 @@
 	return !w.lost && !w.runnerGone && !drained
 }
 
-// Report applies an agent's report. It returns false if the report is not newer
-// than the last one applied of the same incarnation.
+// Report applies an agent's report. It returns false if it ignores the report: one
+// that is not newer than the last one applied of the same incarnation, or one under
+// another epoch. An agent that obeys a former leader may still accept its starts after
+// the report. It learns of this epoch from the answer, and reports again.
 func (c *Core) Report(now time.Time, r control.Report) bool {
 	w, ok := c.workers[r.Agent]
 	if !ok {
 		w = c.newWorker(now, r.Agent)
 	}
-	if r.Incarnation == w.incarnation && r.Seq <= w.reportSeq {
+	fence, first := w.hear(r.Incarnation)
+	switch {
+	case r.Epoch != c.epoch:
+		if first {
+			c.logReport(now, "agent heard", w, r, "")
+		}
+		return false
+	case fence == w.fence && r.Seq <= w.reportSeq:
 		c.logReport(now, "report ignored", w, r, "older than one applied")
 		return false
-	}
-	if r.Incarnation != w.incarnation {
+	case fence != w.fence:
 		c.logReport(now, "agent joined", w, r, "")
-		w.startIncarnation(r.Incarnation)
+		w.startIncarnation(fence)
 	}
 	w.reportSeq = r.Seq
 	w.runnerUnknown = r.Runner == nil
@@ -149,14 +158,20 @@
 		w.lost = false
 		c.log(LogEntry{Event: "worker back", Worker: w.id})
 	}
-	if r.Epoch != c.epoch {
-		// Heard is a sequence number of another leader's orders.
-		r.Applied = 0
-	}
 	c.reconcile(now, w, r)
 	return true
 }
 
+// hear returns the number of an incarnation of the agent, and whether this leader
+// hears from it for the first time.
+func (w *worker) hear(incarnation control.Incarnation) (fence uint16, first bool) {
+	if i := slices.Index(w.incarnations, incarnation); i >= 0 {
+		return uint16(i + 1), false
+	}
+	w.incarnations = append(w.incarnations, incarnation)
+	return uint16(len(w.incarnations)), true
+}
+
 // logReport logs what a report led to, with the age of the epoch.
 func (c *Core) logReport(now time.Time, event string, w *worker, r control.Report, outcome string) {
 	c.log(LogEntry{
@@ -167,9 +182,8 @@
 
 // startIncarnation records that the agent was started again. The new process has
 // received no orders.
-func (w *worker) startIncarnation(incarnation control.Incarnation) {
-	w.incarnation = incarnation
-	w.fence++
+func (w *worker) startIncarnation(fence uint16) {
+	w.fence = fence
 	w.listComplete = false
 	w.ordersSeq = 0
 	for _, p := range w.placements {
--- /dev/null
+++ b/internal/serve/lead_test.go
@@ -0,0 +1,95 @@
+package serve_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/configuration"
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/platform"
+	"github.com/lovageroad/lovageroad/internal/serve"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+// configurationKey is the row of the configuration.
+const configurationKey table.Key = "op/config"
+
+// service is a table service in memory whose feed has no changes.
+type service struct {
+	*platform.Memory
+}
+
+// Changes returns no changes after the wait.
+func (s service) Changes(ctx context.Context, _ table.Key, after table.Version, wait time.Duration) ([]table.Change, table.Version, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return nil, after, ctx.Err()
+}
+
+// Newest returns a version that no row is newer than.
+func (s service) Newest(context.Context) (table.Version, error) {
+	return 1, nil
+}
+
+// leadingGate runs a gate until it leads, and returns it and its epoch.
+func leadingGate(ctx context.Context, t *testing.T) (*serve.Gate, control.Orders) {
+	t.Helper()
+	memory := platform.NewMemory()
+	if _, err := memory.Commit(ctx, table.Txn{Writes: []table.Write{{Key: configurationKey}}}); err != nil {
+		t.Fatal(err)
+	}
+	gate := serve.NewGate(serve.GateConfig{
+		Node: "gate-1", Service: service{memory}, ConfigurationKey: configurationKey, HoldTime: 6 * time.Second,
+		Decode: func([]byte) (*configuration.Configuration, error) {
+			return configuration.New(1, nil, nil, configuration.Limits{}), nil
+		},
+	})
+	go gate.Run(ctx)
+	for {
+		if orders := gate.Report(ctx, control.Report{Agent: "first", Incarnation: 1, Seq: 1, Wait: 100 * time.Millisecond}); orders.Leads {
+			return gate, orders
+		}
+	}
+}
+
+// TestReportUnderAnotherEpoch has an agent report to a leader that it does not obey
+// yet. It must learn of the epoch at once, rather than when the wait for orders ends,
+// and get orders at its next report. A gate must not lead an agent that obeys a later
+// epoch, nor answer it at once, since the agent would report again at once.
+func TestReportUnderAnotherEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		gate, known := leadingGate(ctx, t)
+		const wait = 600 * time.Millisecond
+		report := control.Report{
+			Agent: "a", Incarnation: 7, Wait: wait, Complete: true,
+			Runner: &control.Runner{ID: control.RunnerID{Name: "r", Incarnation: 1}, Pool: "p"},
+		}
+		ask := func() (control.Orders, time.Duration) {
+			report.Seq++
+			asked := time.Now()
+			return gate.Report(ctx, report), time.Since(asked)
+		}
+		answer, took := ask()
+		if answer.Epoch != known.Epoch || answer.Runner.Name != "" || took != 0 {
+			t.Errorf("first answer %+v after %v, want the epoch at once", answer, took)
+		}
+		report.Epoch = answer.Epoch
+		if answer, took = ask(); answer.Runner.Name != "r" || took != 0 {
+			t.Errorf("second answer %+v after %v, want orders at once", answer, took)
+		}
+		if _, took = ask(); took != wait {
+			t.Errorf("answer without new orders after %v, want %v", took, wait)
+		}
+		report.Epoch++
+		if answer, took = ask(); answer.Leads || took != wait {
+			t.Errorf("answer to an agent of a later epoch: leads %v after %v", answer.Leads, took)
+		}
+	})
+}
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -304,14 +304,14 @@
 }
 
 // report applies an agent's report and returns orders for the agent: as soon as
-// there are any, and otherwise after report.Wait. A report that is older than
-// one already applied, or is followed by a newer one, is answered at once. It
+// there are any, and otherwise after report.Wait. A report that the core ignores, or
+// that is followed by a newer one, is answered at once. It
 // returns false if this gate does not lead, or has not loaded the region's state
-// within report.Wait.
+// within report.Wait, or if the agent obeys a later leader.
 //
 // received is when the gate received the report.
 func (l *leader) report(ctx context.Context, report control.Report, received time.Time) (control.Orders, bool) {
-	if !l.awaitLoaded(ctx, report.Wait) {
+	if report.Epoch > l.epoch || !l.awaitLoaded(ctx, report.Wait) {
 		return control.Orders{}, false
 	}
 	if report.Epoch != l.epoch {
@@ -343,7 +343,7 @@
 	if l.core == nil || l.ctx.Err() != nil || !l.gate.leaseValid() {
 		return control.Orders{}, false
 	}
-	orders := l.core.Orders(boottime.Now(), report.Agent)
+	orders := l.core.Orders(boottime.Now(), report.Agent, report.Incarnation)
 	orders.Leader = l.gate.config.Node
 	orders.Gates = l.gate.redirect().Gates
 	return orders, true
