Ignore reports of former processes of an agent

Callers could see a task run twice after an agent's process was replaced. A leader took any other incarnation of an agent for a newer one. A report of the former process that a link delayed then replaced the list of the new process, and the tasks that the new one had started since were "gone" and started elsewhere. The sequence numbers of orders began anew, too, so that the agent ignored orders, and its holds were not renewed, until they had caught up.

A leader now numbers incarnations in the order in which it first hears from them and ignores reports of a lower one than the one it used last. This is complete together with the rule that reports under another epoch are not used: an incarnation that reports under this epoch got an answer of this leader, so this leader heard from it while it ran, that is before any later incarnation was started. One that never got an answer reports under another epoch and is not used, in whichever order it is heard. The incarnations' own numbers are not compared; they are not ordered over a loss of power.

Evidence: TestReportOfFormerProcess; before the fix "2 concurrent runs of a task".

--- a/internal/region/two_leaders_test.go
+++ b/internal/region/two_leaders_test.go
@@ -194,3 +194,33 @@
 		t.Errorf("state %q, want the run to be adopted", state)
 	}
 }
+
+// TestReportOfFormerProcess has an agent's process be replaced while a report of it is
+// delayed. The list in this report must not replace that of the new process, which runs
+// a task that the list lacks.
+func TestReportOfFormerProcess(t *testing.T) {
+	s := newSite(t, "a", "b")
+	s.submit(gpuJob("j0", 1, 8))
+	s.exchange(s.core, "a", "b")
+	a, b := s.agents["a"], s.agents["b"]
+	delayed := b.take()
+	b.sent = nil
+	b.restart(2)
+	s.exchange(s.core, "a", "b")
+	s.submit(gpuJob("j1", 1, 8))
+	s.exchange(s.core, "b")
+	if got := s.runsOf(taskOf("j1", 0)); got != 1 || len(b.running) != 1 {
+		t.Fatalf("%d runs, %d of them at the new process", got, len(b.running))
+	}
+	a.end(taskOf("j0", 0), control.Done)
+	s.exchange(s.core, "a")
+	b.apply(s.core, delayed)
+	s.exchange(s.core, "a")
+	if got := s.runsOf(taskOf("j1", 0)); got != 1 {
+		t.Errorf("%d concurrent runs of a task", got)
+	}
+	s.exchange(s.core, "a", "b")
+	if got := s.runsOf(taskOf("j1", 0)); got != 1 {
+		t.Errorf("%d runs of the task later", got)
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -130,9 +130,14 @@
 }
 
 // Report applies an agent's report. It returns false if it ignores the report: one
-// that is not newer than the last one applied of the same incarnation, or one under
-// another epoch. An agent that obeys a former leader may still accept its starts after
-// the report. It learns of this epoch from the answer, and reports again.
+// that is not newer than the last one applied of the same incarnation, one of an earlier
+// incarnation, or one under another epoch. An agent that obeys a former leader may still
+// accept its starts after the report. It learns of this epoch from the answer, and
+// reports again.
+//
+// Incarnations are in the order in which this leader first heard from them: to report
+// under this epoch, an incarnation must have had an answer of this leader, which so
+// heard from it before any later incarnation was started.
 func (c *Core) Report(now time.Time, r control.Report) bool {
 	w, ok := c.workers[r.Agent]
 	if !ok {
@@ -145,10 +150,13 @@
 			c.logReport(now, "agent heard", w, r, "")
 		}
 		return false
+	case fence < w.fence:
+		c.logReport(now, "report ignored", w, r, "of an earlier incarnation")
+		return false
 	case fence == w.fence && r.Seq <= w.reportSeq:
 		c.logReport(now, "report ignored", w, r, "older than one applied")
 		return false
-	case fence != w.fence:
+	case fence > w.fence:
 		c.logReport(now, "agent joined", w, r, "")
 		w.startIncarnation(fence)
 	}
