Hold no tasks of an agent that the new leader has no list of

Callers could see a task run twice when an agent's process was replaced near a change of leader and its link was cut soon after. The process that is new knows its runner before it has the runner's list. The new leader's answers to its reports renewed the hold, and so the runner's lease for tasks of the former leader. A leader settles, whatever is missing, when the hold has passed since its epoch began. By then the lease went on if the process was replaced more than 1.6 s after that: the tasks ran on for as long, and were started elsewhere.

Until an agent has listed what it runs for earlier leaders, it now gets the epoch only, so that nothing is held that the leader doesn't know of. The orders follow the list at once.

Evidence: TestHoldBeforeList; before the fix "2 concurrent runs of a task".

--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -33,17 +33,23 @@
 }
 
 // Orders returns the answer to a report of an incarnation of an agent. It holds
-// orders if a report of this incarnation under this epoch was the last one applied.
-// Sending orders renews the hold of all tasks on the runner, unless the agent doesn't
-// know its runner. Otherwise the answer only tells the agent the epoch: without a
-// runner, the agent does not apply it.
+// orders if a report of this incarnation under this epoch was the last one applied, and
+// the agent has listed what it runs for earlier leaders. Sending orders renews the hold
+// of all tasks on the runner, unless the agent doesn't know its runner.
 func (c *Core) Orders(now time.Time, agent control.AgentID, incarnation control.Incarnation) control.Orders {
 	w := c.workers[agent]
 	if w == nil {
 		return control.Orders{Leads: true, Epoch: c.epoch}
 	}
-	if fence, _ := w.hear(incarnation); fence != w.fence {
-		return control.Orders{Leads: true, Epoch: c.epoch, Fence: fence, ReportWait: c.reportWait()}
+	fence, _ := w.hear(incarnation)
+	if fence != w.fence {
+		return c.epochOnly(fence)
+	}
+	if w.awaitingReport {
+		// Tasks that this leader doesn't know of must not be held for longer than it
+		// waits for them.
+		w.ordersPending = false
+		return c.epochOnly(fence)
 	}
 	if !w.runnerUnknown {
 		w.holdExpiry = now.Add(c.holdTimeout())
@@ -71,6 +77,12 @@
 	return orders
 }
 
+// epochOnly returns an answer without orders, from which an agent learns the epoch.
+// Since it names no runner, the agent does not apply it.
+func (c *Core) epochOnly(fence uint16) control.Orders {
+	return control.Orders{Leads: true, Epoch: c.epoch, Fence: fence, ReportWait: c.reportWait()}
+}
+
 // schedulable reports whether tasks may start on the worker.
 func (w *worker) schedulable(now time.Time) bool {
 	return !w.lost && w.listComplete && !w.runnerGone && w.hasRow() && !w.writingRow && !w.row.versionUnknown && !w.runner.Draining && !now.Before(w.coolDownUntil)
--- a/internal/region/reconcile.go
+++ b/internal/region/reconcile.go
@@ -31,6 +31,7 @@
 	}
 	if w.awaitingReport {
 		w.awaitingReport = false
+		w.markOrdersPending()
 		c.logReport(now, "agent listed", w, r, "")
 	}
 }
--- a/internal/region/two_leaders_test.go
+++ b/internal/region/two_leaders_test.go
@@ -32,6 +32,7 @@
 		// have not been answered.
 		sent     []runner.Send
 		renewals []runner.RenewLease
+		leaseEnd runner.Clock
 		running  []control.Task
 		results  []control.Result
 	}
@@ -67,6 +68,7 @@
 		case runner.Send:
 			a.sent = append(a.sent, e)
 		case runner.StartTask:
+			a.leaseEnd = max(a.leaseEnd, e.Until)
 			a.running = append(a.running, control.Task{ID: e.Start.Task, Run: e.Start.Run, Phase: control.Running})
 			a.step(runner.StartResult{Call: e, Answer: runner.Accepted})
 		case runner.StopTask:
@@ -81,9 +83,11 @@
 // tick lets time pass and has the runner answer the renewals of its lease.
 func (a *agent) tick(d time.Duration) {
 	a.site.now = a.site.now.Add(d)
+	a.expire()
 	renewals := a.renewals
 	a.renewals = nil
 	for _, call := range renewals {
+		a.leaseEnd = max(a.leaseEnd, call.Until)
 		a.step(runner.RenewLeaseResult{
 			Call: call, Answer: runner.Accepted, Clock: a.clock(), Tasks: slices.Clone(a.running), Results: slices.Clone(a.results),
 		})
@@ -91,6 +95,13 @@
 	a.step(runner.Tick{})
 }
 
+// expire ends all tasks at the runner if its lease has expired.
+func (a *agent) expire() {
+	for len(a.running) > 0 && a.clock() >= a.leaseEnd {
+		a.end(a.running[0].ID, control.Expired)
+	}
+}
+
 // end ends a task at the runner.
 func (a *agent) end(id work.TaskID, outcome control.Outcome) {
 	for i, t := range a.running {
@@ -143,6 +154,7 @@
 func (s *site) runsOf(id work.TaskID) int {
 	n := 0
 	for _, a := range s.agents {
+		a.expire()
 		for _, t := range a.running {
 			if t.ID == id {
 				n++
@@ -224,3 +236,37 @@
 		t.Errorf("%d runs of the task later", got)
 	}
 }
+
+// TestHoldBeforeList has an agent's process be replaced at a takeover, and its reports be
+// cut before the new leader has its list. The leader's first answers must not let the
+// runner's tasks run for longer than the leader waits before it starts them elsewhere.
+func TestHoldBeforeList(t *testing.T) {
+	s := newSite(t, "a", "b")
+	s.submit(gpuJob("j0", 1, 8))
+	s.submit(gpuJob("j1", 1, 8))
+	s.exchange(s.core, "a", "b")
+	a, b := s.agents["a"], s.agents["b"]
+	task := b.running[0].ID
+	a.end(a.running[0].ID, control.Done)
+	s.exchange(s.core, "a", "b")
+	s.lead(2)
+	for range 3 {
+		s.now = s.now.Add(time.Second)
+		s.exchange(s.core, "a")
+	}
+	b.sent = nil
+	b.restart(2)
+	for range 2 {
+		b.step(b.apply(s.core, b.take()))
+	}
+	for end := s.now.Add(8 * time.Second); s.now.Before(end); {
+		b.tick(100 * time.Millisecond)
+		s.exchange(s.core, "a")
+		if got := s.runsOf(task); got > 1 {
+			t.Fatalf("%d concurrent runs of a task", got)
+		}
+	}
+	if got := s.runsOf(task); got != 1 {
+		t.Errorf("%d runs of the task after the hold, want 1", got)
+	}
+}
