Hold no tasks through an answer to an agent without its runner

Callers could see a task run twice after an agent's process was replaced and its link was cut soon after. An agent that doesn't know its runner can't renew the runner's lease, so that the leader does not count its reports towards the hold of the tasks there. But the answer named the runner of the former process. If the new process heard from the runner while the answer was on its way, it took the answer as a hold, and the tasks ran on for 6 s that the leader did not wait for.

Such an agent now gets the epoch only, and orders at once when it reports its runner.

--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -33,9 +33,9 @@
 }
 
 // Orders returns the answer to a report of an incarnation of an agent. It holds
-// orders if a report of this incarnation under this epoch was the last one applied, and
-// the agent has listed what it runs for earlier leaders. Sending orders renews the hold
-// of all tasks on the runner, unless the agent doesn't know its runner.
+// orders if a report of this incarnation under this epoch was the last one applied, if
+// the agent knows its runner, and if it has listed what it runs for earlier leaders.
+// Sending orders renews the hold of all tasks on the runner.
 func (c *Core) Orders(now time.Time, agent control.AgentID, incarnation control.Incarnation) control.Orders {
 	w := c.workers[agent]
 	if w == nil {
@@ -45,16 +45,14 @@
 	if fence != w.fence {
 		return c.epochOnly(fence)
 	}
-	if w.awaitingReport {
-		// Tasks that this leader doesn't know of must not be held for longer than it
-		// waits for them.
-		w.ordersPending = false
+	w.ordersPending = false
+	if w.awaitingReport || w.runnerUnknown {
+		// Tasks must not be held for longer than this leader waits for them. It
+		// does not wait longer for tasks that it doesn't know of, nor for an agent
+		// that can't renew the runner's lease.
 		return c.epochOnly(fence)
 	}
-	if !w.runnerUnknown {
-		w.holdExpiry = now.Add(c.holdTimeout())
-	}
-	w.ordersPending = false
+	w.holdExpiry = now.Add(c.holdTimeout())
 	w.ordersSeq++
 	orders := control.Orders{Leads: true, Epoch: c.epoch, Seq: w.ordersSeq, Fence: w.fence, Acked: w.lastAcknowledged, ReportWait: c.reportWait()}
 	if w.runner != nil {
--- a/internal/region/two_leaders_test.go
+++ b/internal/region/two_leaders_test.go
@@ -35,6 +35,8 @@
 		leaseEnd runner.Clock
 		running  []control.Task
 		results  []control.Result
+
+		heartbeats uint64
 	}
 )
 
@@ -49,12 +51,22 @@
 	return s
 }
 
-// restart replaces the agent's process by another one. Reports of the former one
-// stay in flight.
+// restart replaces the agent's process by another one, which hears from the runner at
+// once. Reports of the former one stay in flight.
 func (a *agent) restart(incarnation control.Incarnation) {
+	a.restartAlone(incarnation)
+	a.heartbeat()
+}
+
+// restartAlone is like restart without a heartbeat of the runner.
+func (a *agent) restartAlone(incarnation control.Incarnation) {
 	a.renewals = nil
 	a.core = runner.New(a.id, incarnation, []machine.Node{"gate:1", "gate:2"})
-	a.step(runner.Heartbeat{Runner: a.self, Seq: uint64(incarnation), Clock: a.clock()})
+}
+
+func (a *agent) heartbeat() {
+	a.heartbeats++
+	a.step(runner.Heartbeat{Runner: a.self, Seq: a.heartbeats, Clock: a.clock()})
 }
 
 func (a *agent) clock() runner.Clock {
@@ -270,3 +282,37 @@
 		t.Errorf("%d runs of the task after the hold, want 1", got)
 	}
 }
+
+// TestRunnerFoundBeforeAnswer has an agent's new process report without its runner, and
+// find the runner before the answer arrives. The answer must not let tasks run for longer
+// than the leader, which does not count on this agent, waits for them.
+func TestRunnerFoundBeforeAnswer(t *testing.T) {
+	s := newSite(t, "a", "b")
+	s.submit(gpuJob("j0", 1, 8))
+	s.submit(gpuJob("j1", 1, 8))
+	s.exchange(s.core, "a", "b")
+	a, b := s.agents["a"], s.agents["b"]
+	task := b.running[0].ID
+	a.end(a.running[0].ID, control.Done)
+	for range 3 {
+		s.now = s.now.Add(time.Second)
+		s.exchange(s.core, "a")
+	}
+	b.sent = nil
+	b.restartAlone(2)
+	b.step(runner.Tick{})
+	b.step(b.apply(s.core, b.take()))
+	answer := b.apply(s.core, b.take())
+	b.heartbeat()
+	b.step(answer)
+	for end := s.now.Add(8 * time.Second); s.now.Before(end); {
+		b.tick(100 * time.Millisecond)
+		s.exchange(s.core, "a")
+		if got := s.runsOf(task); got > 1 {
+			t.Fatalf("%d concurrent runs of a task", got)
+		}
+	}
+	if got := s.runsOf(task); got != 1 {
+		t.Errorf("%d runs of the task after the hold, want 1", got)
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -161,6 +161,9 @@
 		w.startIncarnation(fence)
 	}
 	w.reportSeq = r.Seq
+	if w.runnerUnknown && r.Runner != nil {
+		w.markOrdersPending()
+	}
 	w.runnerUnknown = r.Runner == nil
 	if w.lost && !w.runnerUnknown {
 		w.lost = false
