Acknowledge results of ended jobs when the end is durable

Callers could see a task start again after it was done. A result for a job that had ended was acknowledged at once, also while the end was not durable yet, which lasts as long as the table is away. That is also when leaders change. If the agent that reported the reason of the end was lost as well, the next leader went on with the job, and the result that nobody had recorded was gone at its runner.

Such a result now waits for the job's last change, as results of other jobs do. Results of unknown jobs are still acknowledged at once: their rows were removed after the retention time.

Evidence: TestResultAfterUnsavedEnd; before the fix "result 1 acknowledged although nothing is durable" and "j1.0.0.1 starts again after it was done".

--- a/internal/region/result.go
+++ b/internal/region/result.go
@@ -34,6 +34,10 @@
 	pending := pendingResult{id: e.ID}
 	if t != nil && !j.hasEnded() {
 		c.applyOutcome(now, w, j, s, t, e)
+	}
+	if j != nil {
+		// The result of a job that has ended depends on a durable end, too: until
+		// then a later leader may go on with the job.
 		pending.job, pending.change = j, j.lastChange
 	}
 	w.pendingResults = append(w.pendingResults, pending)
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -84,7 +84,7 @@
 
 	// pendingResult is a result that is not durable yet. It becomes
 	// durable with the change of its job that has the number change, or at once if
-	// job is nil.
+	// job is nil, since the job is not known.
 	pendingResult struct {
 		id     control.ResultID
 		job    *job
