Know occurrences that an earlier leader has started

Callers could see a task of a scheduled job run twice, or be stopped for nothing, when the leader changed soon after the job was due and the new leader's wall clock was behind the former one's. The occurrence did not exist yet for the new leader. A task of it that ran was stopped as a stray. The result of one that was done was acknowledged at once, as if the job were not known, without a record; the task started again when it was due.

An occurrence of which an agent reports a task or a result now exists, with those before it, so that the task is adopted and the result recorded. Other tasks of such an occurrence, and of one that comes from a record, start when it is due by the leader's own clock.

Evidence: TestOccurrenceOfFasterClock, with clocks 3 s apart; before the fix "stops [{j1.0.0.0 1}]", "result 1 acknowledged before it is durable", and j1.0.0.0, which was done, among the starts.

--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -282,6 +282,21 @@
 	}
 }
 
+// addReported adds the occurrence of a task that an agent reports, and those before it.
+// They need not be due by this leader's clock: an earlier leader, by whose clock they
+// were, has started the task.
+func (c *Core) addReported(now time.Time, id work.TaskID) {
+	j := c.jobs[id.Job]
+	if j == nil || j.hasEnded() || id.Occurrence < len(j.occurrences) || id.Occurrence >= j.Job.Occurrences() {
+		return
+	}
+	for n := len(j.occurrences); n <= id.Occurrence; n++ {
+		j.occurrences = append(j.occurrences, newOccurrence(j, n, c.due(j, n)))
+	}
+	c.log(LogEntry{Event: "occurrence found", Task: id, Age: now.Sub(c.due(j, id.Occurrence))})
+	c.advance(now, j)
+}
+
 func newOccurrence(j *job, number int, due time.Time) *occurrence {
 	o := &occurrence{number: number, due: due, steps: make([]*step, len(j.Job.Steps))}
 	for i := range j.Job.Steps {
--- a/internal/region/reconcile.go
+++ b/internal/region/reconcile.go
@@ -73,6 +73,7 @@
 // did not order there. It adopts the run if the task is waiting and not placed
 // elsewhere. Otherwise the run is orphaned and will be stopped.
 func (c *Core) addUnordered(now time.Time, w *worker, r control.Task) *placement {
+	c.addReported(now, r.ID)
 	j, s, t := c.find(r.ID)
 	p := &placement{run: r.Run, orphaned: true}
 	if t != nil {
--- a/internal/region/result.go
+++ b/internal/region/result.go
@@ -30,6 +30,7 @@
 		return
 	}
 	w.lastApplied = e.ID
+	c.addReported(now, e.Task)
 	j, s, t := c.find(e.Task)
 	pending := pendingResult{id: e.ID}
 	if t != nil && !j.hasEnded() {
--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -190,6 +190,10 @@
 			continue
 		}
 		for _, o := range j.occurrences {
+			if due := c.due(j, o.number); due.After(now) {
+				c.replanBy(due)
+				continue
+			}
 			for _, s := range o.steps {
 				if o.done || s.readyAt.IsZero() || s.done == len(s.tasks) {
 					continue
--- a/internal/region/wall_clock_test.go
+++ b/internal/region/wall_clock_test.go
@@ -139,3 +139,63 @@
 		t.Errorf("%v run times are remembered, want 5", got)
 	}
 }
+
+// TestOccurrenceOfFasterClock has a leader with a fast clock start an occurrence, and a
+// new leader find it running or done before it is due by its own clock. The new leader
+// must neither stop the task nor start it again, and must not start other tasks of the
+// occurrence before they are due.
+func TestOccurrenceOfFasterClock(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		h := newHarness(t)
+		h.wallClockOffset = clockOffset
+		h.lead(1)
+		h.join("a")
+		j := gpuJob("j1", 2, 8)
+		j.OccurrenceCount, j.Interval = 2, time.Minute
+		j.FirstDue = work.TimestampOf(h.now.Add(clockOffset))
+		h.submit(j)
+		if n := len(h.report("a", nil).Starts); n != 1 {
+			t.Fatalf("%d starts", n)
+		}
+		started := taskOf("j1", 0)
+		h.wallClockOffset -= 3 * time.Second
+		h.lead(2)
+		h.join("b")
+		change := func(r *control.Report) {
+			if ended {
+				r.Results = []control.Result{{ID: 1, Task: started, Run: h.runs[started], Outcome: control.Done}}
+			} else {
+				r.Tasks = []control.Task{{ID: started, Run: h.runs[started], Phase: control.Running}}
+			}
+		}
+		starts := make(map[work.TaskID]int)
+		collect := func(orders control.Orders) {
+			if len(orders.Stops) > 0 {
+				t.Errorf("ended %t: stops %v", ended, orders.Stops)
+			}
+			for _, start := range orders.Starts {
+				starts[start.Task]++
+			}
+		}
+		collect(h.report("a", change))
+		orders := h.report("a", change)
+		collect(orders)
+		if orders.Acked != 0 {
+			t.Errorf("result %d acknowledged before it is durable", orders.Acked)
+			change = nil
+		}
+		h.save()
+		h.now = h.now.Add(2 * time.Second)
+		collect(h.report("a", change))
+		collect(h.report("b", nil))
+		if len(starts) != 0 {
+			t.Errorf("ended %t: starts %v before they are due", ended, starts)
+		}
+		h.now = h.now.Add(time.Second)
+		collect(h.report("a", change))
+		collect(h.report("b", nil))
+		if starts[started] != 0 || starts[taskOf("j1", 1)] == 0 {
+			t.Errorf("ended %t: starts %v, want the other task only", ended, starts)
+		}
+	}
+}
