Don't run a job again whose row was read before its removal

Callers could see a job run again after its end. When the table drops history, the leader reads the rows of all jobs again, while it goes on writing. If it removed an ended job's rows between the read and the use of what was read, it did not know the job any more, took the row for a new job, and started all its tasks.

The leader now remembers the removed jobs for the retention time, with their versions, and ignores rows that are not newer. A new job under the same ID is still accepted.

Evidence: TestRowReadBeforeRemoval; before the fix "starts [{j1.0.0.0 1 }] of a job that was completed".

--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -110,14 +110,14 @@
 }
 
 // ApplyRow applies the row of a job or a cancellation. It ignores a job that is already
-// known or whose record can't be decoded, and rows with other keys.
+// known or has been removed, or whose record can't be decoded, and rows with other keys.
 func (c *Core) ApplyRow(now time.Time, row table.Row) {
 	if id, ok := cutPrefix(row.Key, CancelPrefix); ok {
 		c.Cancel(now, work.JobID(id))
 		return
 	}
 	id, ok := cutPrefix(row.Key, JobPrefix)
-	if !ok || row.Value == nil || c.unreadable[work.JobID(id)] {
+	if !ok || row.Value == nil || c.unreadable[work.JobID(id)] || c.wasRemoved(work.JobID(id), row.Version) {
 		return
 	}
 	var s Submission
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -72,6 +72,10 @@
 		endedJobs []*job
 		workers   map[control.AgentID]*worker
 
+		// removedJobs are the jobs whose rows were removed within the last
+		// Config.Retention. Their rows may still arrive from a read that began before.
+		removedJobs map[work.JobID]removedJob
+
 		// placementCount is the number of workers on which a task may use capacity.
 		placementCount map[work.TaskID]int
 
@@ -143,7 +147,7 @@
 	}
 	return &Core{
 		config: config, epoch: epoch, epochCheck: epochCheck, began: now, initialVersion: initialVersion, currentConfiguration: current,
-		jobs:    make(map[work.JobID]*job),
+		jobs: make(map[work.JobID]*job), removedJobs: make(map[work.JobID]removedJob),
 		workers: make(map[control.AgentID]*worker), earlyCancels: make(map[work.JobID]bool),
 		unreadable:     make(map[work.JobID]bool),
 		placementCount: make(map[work.TaskID]int),
--- a/internal/region/retention.go
+++ b/internal/region/retention.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lovageroad/lovageroad/internal/work"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
@@ -22,6 +23,12 @@
 	rowsPerJob = 3
 )
 
+// removedJob is an ended job whose rows have been removed.
+type removedJob struct {
+	version table.Version
+	at      time.Time
+}
+
 // Retention returns how long the rows of a job are kept after its end, given how
 // long callers may ask for its state.
 func Retention(stateRetention time.Duration) time.Duration {
@@ -61,8 +68,20 @@
 		c.log(LogEntry{Event: "ended jobs not removed", Count: len(b.expired)})
 		return
 	}
+	for id, r := range c.removedJobs {
+		if c.now.Sub(r.at) >= c.config.Retention {
+			delete(c.removedJobs, id)
+		}
+	}
 	for _, j := range b.expired {
 		delete(c.jobs, j.Job.ID)
+		c.removedJobs[j.Job.ID] = removedJob{version: j.acceptedVersion, at: c.now}
 	}
 	c.log(LogEntry{Event: "ended jobs removed", Count: len(b.expired), Age: c.config.Retention})
 }
+
+// wasRemoved reports whether a row of a job was read before the leader removed it.
+func (c *Core) wasRemoved(id work.JobID, version table.Version) bool {
+	r, ok := c.removedJobs[id]
+	return ok && version <= r.version
+}
--- a/internal/region/retention_test.go
+++ b/internal/region/retention_test.go
@@ -101,3 +101,33 @@
 		}
 	}
 }
+
+// TestRowReadBeforeRemoval has the leader read the rows of all jobs again, while it
+// removes those of an ended job, so that it gets the job's row after the removal. The
+// job must not run again. A new job under the same ID must.
+func TestRowReadBeforeRemoval(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("j1", 1, 4))
+	h.report("a", nil)
+	h.report("a", h.reportDone(1, "j1"))
+	h.save()
+	rows, err := h.table.Scan(context.Background(), region.JobPrefix, "", 10)
+	if err != nil || len(rows) != 1 {
+		t.Fatalf("%d rows, %v", len(rows), err)
+	}
+	h.now = h.now.Add(region.DefaultRetention)
+	h.join("a")
+	h.join("a")
+	if _, known := h.core.State("j1"); known || h.countRows() != 0 {
+		t.Fatalf("%d rows, known %t", h.countRows(), known)
+	}
+	h.core.ApplyRow(h.now, rows[0])
+	if orders := h.report("a", nil); len(orders.Starts) != 0 {
+		t.Errorf("starts %v of a job that was completed", orders.Starts)
+	}
+	h.submit(gpuJob("j1", 1, 4))
+	if orders := h.report("a", nil); len(orders.Starts) != 1 {
+		t.Errorf("starts %v of a new job, want 1", orders.Starts)
+	}
+}
