Keep the row of a draining agent until it has listed its tasks

Callers could see a task run twice after two changes of leader. An agent whose process was replaced reports that its runner drains before it has the runner's list. The new leader knew of no task there, took the runner for drained, and removed the agent's row. The leader after it did not wait for the agent and started the tasks elsewhere.

The row now stays while the leader waits for the agent's list.

Evidence: TestDrainBeforeList; before the fix "started [{j0.0.0.0 2002 }] while it may run elsewhere".

--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -203,6 +203,26 @@
 	}
 }
 
+// TestDrainBeforeList has an agent's process be replaced at a takeover. The new process
+// reports that the runner drains before it has the runner's list. Another leader must
+// still wait for this agent, whose runner may run a task.
+func TestDrainBeforeList(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("j0", 1, 8))
+	h.report("a", nil)
+	h.join("b")
+	h.lead(2)
+	h.report("a", func(r *control.Report) { r.Runner.Draining, r.Complete = true, false })
+	h.save()
+	h.lead(3)
+	h.report("b", nil)
+	h.save()
+	if orders := h.report("b", nil); len(orders.Starts) != 0 {
+		t.Errorf("started %v while it may run elsewhere", orders.Starts)
+	}
+}
+
 // TestFailuresOutOfOrder has two runs of a task fail under a leader that makes
 // neither result durable. The next leader hears of the later one first. Both must
 // count towards the job's attempts, and neither of them twice.
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -125,6 +125,9 @@
 // in the table. Nothing starts on a draining worker, so that its row can be
 // removed when its last task has ended.
 func (w *worker) mayRun() bool {
+	if w.awaitingReport {
+		return true
+	}
 	drained := w.runner != nil && w.runner.Draining && len(w.placements) == 0
 	return !w.lost && !w.runnerGone && !drained
 }
