Answer idle reports while agents still accept the answer

With 180 agents or more, callers would see tasks end and start again although nothing was wrong. The wait for orders grows with the number of agents that the leader has known, to 2 s, but agents ignore answers to reports that were sent more than 1.5 s ago. Answers without new orders so renewed no hold, and the tasks' leases expired. Agents that are gone for good count too, so that a leader of a smaller site gets there in time.

The wait is now at most 1 s, which leaves 0.5 s to the network.

--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -13,10 +13,11 @@
 	// many as 70 agents, the size that the users run, send at an interval of 0.6 s.
 	idleReportRate = 120
 
-	// minReportWait and maxReportWait bound how long an answer waits for new orders. At
-	// maxReportWait the hold is still renewed at least three times before it expires.
+	// minReportWait and maxReportWait bound how long an answer waits for new orders.
+	// maxReportWait leaves 0.5 s of the time in which agents accept an answer,
+	// Config.MaxOrdersAge, to the network.
 	minReportWait = 600 * time.Millisecond
-	maxReportWait = 2 * time.Second
+	maxReportWait = time.Second
 )
 
 // reportWait returns how long the answer to a report waits for new orders (long
