Give up starts at a runner that is gone

Callers could see a job wait for as long as an agent stayed up whose runner had left. A start that was ordered just before was neither listed nor applied: an agent does not apply orders while its runner is gone. The leader repeated the order, counted the task as placed there, and did not start it elsewhere.

The leader now gives no orders to the agent of a runner that is gone, so that the worker's hold expires as that of an unresponsive agent does, and its tasks wait again. It stays lost until the runner is back. The hold bounds a start of a runner that was only silent: an agent accepts the order for 1.5 s and the runner's lease ends 6 s after the report, and an agent that reports again meanwhile lists the task.

--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -35,8 +35,8 @@
 
 // Orders returns the answer to a report of an incarnation of an agent. It holds
 // orders if a report of this incarnation under this epoch was the last one applied, if
-// the agent knows its runner, and if it has listed what it runs for earlier leaders.
-// Sending orders renews the hold of all tasks on the runner.
+// the agent knows its runner and the runner is not gone, and if it has listed what it
+// runs for earlier leaders. Sending orders renews the hold of all tasks on the runner.
 func (c *Core) Orders(now time.Time, agent control.AgentID, incarnation control.Incarnation) control.Orders {
 	w := c.workers[agent]
 	if w == nil {
@@ -47,10 +47,10 @@
 		return c.epochOnly(fence)
 	}
 	w.ordersPending = false
-	if w.awaitingReport || w.runnerUnknown {
+	if w.awaitingReport || w.runnerUnknown || w.runnerGone {
 		// Tasks must not be held for longer than this leader waits for them. It
-		// does not wait longer for tasks that it doesn't know of, nor for an agent
-		// that can't renew the runner's lease.
+		// does not wait longer for tasks that it doesn't know of, for an agent
+		// that can't renew the runner's lease, nor for a runner that is gone.
 		return c.epochOnly(fence)
 	}
 	w.holdExpiry = now.Add(c.holdTimeout())
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -338,3 +338,32 @@
 	}
 	t.Error("the task is still placed on an agent that does not know its runner")
 }
+
+// TestStartAtGoneRunner has a runner leave for good while the order to start a task there
+// is on its way, and its agent stay. The task must be started elsewhere, but not before
+// the order is too old for the agent, since a runner that was only silent may come back.
+func TestStartAtGoneRunner(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("j1", 1, 8))
+	if n := len(h.report("a", nil).Starts); n != 1 {
+		t.Fatalf("%d starts", n)
+	}
+	ordered := h.now
+	applied := h.ordersSeq["a"] - 1
+	h.join("b")
+	for h.now.Before(ordered.Add(20 * time.Second)) {
+		h.report("a", func(r *control.Report) { r.RunnerGone, r.Applied = true, applied })
+		starts := len(h.report("b", nil).Starts)
+		if age := h.now.Sub(ordered); starts > 0 {
+			if age <= 1500*time.Millisecond {
+				t.Errorf("started elsewhere after %v", age)
+			}
+			return
+		}
+		h.save()
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.core.Tick(h.now)
+	}
+	t.Error("not started elsewhere")
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -164,11 +164,11 @@
 		w.startIncarnation(fence)
 	}
 	w.reportSeq = r.Seq
-	if w.runnerUnknown && r.Runner != nil {
+	if w.runnerUnknown && r.Runner != nil || w.runnerGone && !r.RunnerGone {
 		w.markOrdersPending()
 	}
 	w.runnerUnknown = r.Runner == nil
-	if w.lost && !w.runnerUnknown {
+	if w.lost && !w.runnerUnknown && !r.RunnerGone {
 		w.lost = false
 		c.log(LogEntry{Event: "worker back", Worker: w.id})
 	}
