Keep the row of a gone runner's agent while a start is on its way

Callers could see a task run twice if the leader was lost just after an agent had reported its runner as gone while a start was on its way to it. The leader removed the agent's row at once, so that the next one did not wait for this agent. A runner that was only silent for a while could still get the start.

The row now stays until no task is placed on the worker, as that of a draining one does.

Evidence: TestTakeoverAfterStartAtGoneRunner; before the fix "started [{j1.0.0.0 1002 }] while it may start elsewhere".

--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -367,3 +367,23 @@
 	}
 	t.Error("not started elsewhere")
 }
+
+// TestTakeoverAfterStartAtGoneRunner has the leader be lost while the order to start a
+// task is on its way to an agent whose runner seems gone. The runner may come back before
+// the order is too old, so that the next leader must wait for this agent.
+func TestTakeoverAfterStartAtGoneRunner(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("j1", 1, 8))
+	h.report("a", nil)
+	applied := h.ordersSeq["a"] - 1
+	h.report("a", func(r *control.Report) { r.RunnerGone, r.Applied = true, applied })
+	h.save()
+	h.join("b")
+	h.lead(2)
+	h.report("b", nil)
+	h.save()
+	if orders := h.report("b", nil); len(orders.Starts) != 0 {
+		t.Errorf("started %v while it may start elsewhere", orders.Starts)
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -122,14 +122,15 @@
 }
 
 // mayRun reports whether a task may run on the worker, so that its row must be
-// in the table. Nothing starts on a draining worker, so that its row can be
-// removed when its last task has ended.
+// in the table. Nothing is ordered to start on a worker that is draining or whose
+// runner is gone, so that its row can be removed when it has no tasks left. A start
+// that was ordered before may still be on its way.
 func (w *worker) mayRun() bool {
 	if w.awaitingReport {
 		return true
 	}
-	drained := w.runner != nil && w.runner.Draining && len(w.placements) == 0
-	return !w.lost && !w.runnerGone && !drained
+	closed := w.runnerGone || w.runner != nil && w.runner.Draining
+	return !w.lost && !(closed && len(w.placements) == 0)
 }
 
 // Report applies an agent's report. It returns false if it ignores the report: one
