--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -13,10 +13,11 @@
 	// many as 70 agents, the size that the users run, send at an interval of 0.6 s.
 	idleReportRate = 120
 
-	// minReportWait and maxReportWait bound how long an answer waits for new orders. At
-	// maxReportWait the hold is still renewed at least three times before it expires.
+	// minReportWait and maxReportWait bound how long an answer waits for new orders.
+	// maxReportWait leaves 0.5 s of the time in which agents accept an answer,
+	// Config.MaxOrdersAge, to the network.
 	minReportWait = 600 * time.Millisecond
-	maxReportWait = 2 * time.Second
+	maxReportWait = time.Second
 )
 
 // reportWait returns how long the answer to a report waits for new orders (long
@@ -32,17 +33,27 @@
 	return w != nil && w.ordersPending
 }
 
-// Orders returns the orders for an agent. Sending them renews the hold of all tasks
-// on its runner, unless the agent doesn't know its runner.
-func (c *Core) Orders(now time.Time, agent control.AgentID) control.Orders {
+// Orders returns the answer to a report of an incarnation of an agent. It holds
+// orders if a report of this incarnation under this epoch was the last one applied, if
+// the agent knows its runner and the runner is not gone, and if it has listed what it
+// runs for earlier leaders. Sending orders renews the hold of all tasks on the runner.
+func (c *Core) Orders(now time.Time, agent control.AgentID, incarnation control.Incarnation) control.Orders {
 	w := c.workers[agent]
 	if w == nil {
 		return control.Orders{Leads: true, Epoch: c.epoch}
 	}
-	if !w.runnerUnknown {
-		w.holdExpiry = now.Add(c.holdTimeout())
+	fence, _ := w.hear(incarnation)
+	if fence != w.fence {
+		return c.epochOnly(fence)
 	}
 	w.ordersPending = false
+	if w.awaitingReport || w.runnerUnknown || w.runnerGone {
+		// Tasks must not be held for longer than this leader waits for them. It
+		// does not wait longer for tasks that it doesn't know of, for an agent
+		// that can't renew the runner's lease, nor for a runner that is gone.
+		return c.epochOnly(fence)
+	}
+	w.holdExpiry = now.Add(c.holdTimeout())
 	w.ordersSeq++
 	orders := control.Orders{Leads: true, Epoch: c.epoch, Seq: w.ordersSeq, Fence: w.fence, Acked: w.lastAcknowledged, ReportWait: c.reportWait()}
 	if w.runner != nil {
@@ -65,6 +76,12 @@
 	return orders
 }
 
+// epochOnly returns an answer without orders, from which an agent learns the epoch.
+// Since it names no runner, the agent does not apply it.
+func (c *Core) epochOnly(fence uint16) control.Orders {
+	return control.Orders{Leads: true, Epoch: c.epoch, Fence: fence, ReportWait: c.reportWait()}
+}
+
 // schedulable reports whether tasks may start on the worker.
 func (w *worker) schedulable(now time.Time) bool {
 	return !w.lost && w.listComplete && !w.runnerGone && w.hasRow() && !w.writingRow && !w.row.versionUnknown && !w.runner.Draining && !now.Before(w.coolDownUntil)
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -203,6 +203,26 @@
 	}
 }
 
+// TestDrainBeforeList has an agent's process be replaced at a takeover. The new process
+// reports that the runner drains before it has the runner's list. Another leader must
+// still wait for this agent, whose runner may run a task.
+func TestDrainBeforeList(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("j0", 1, 8))
+	h.report("a", nil)
+	h.join("b")
+	h.lead(2)
+	h.report("a", func(r *control.Report) { r.Runner.Draining, r.Complete = true, false })
+	h.save()
+	h.lead(3)
+	h.report("b", nil)
+	h.save()
+	if orders := h.report("b", nil); len(orders.Starts) != 0 {
+		t.Errorf("started %v while it may run elsewhere", orders.Starts)
+	}
+}
+
 // TestFailuresOutOfOrder has two runs of a task fail under a leader that makes
 // neither result durable. The next leader hears of the later one first. Both must
 // count towards the job's attempts, and neither of them twice.
@@ -318,3 +338,52 @@
 	}
 	t.Error("the task is still placed on an agent that does not know its runner")
 }
+
+// TestStartAtGoneRunner has a runner leave for good while the order to start a task there
+// is on its way, and its agent stay. The task must be started elsewhere, but not before
+// the order is too old for the agent, since a runner that was only silent may come back.
+func TestStartAtGoneRunner(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("j1", 1, 8))
+	if n := len(h.report("a", nil).Starts); n != 1 {
+		t.Fatalf("%d starts", n)
+	}
+	ordered := h.now
+	applied := h.ordersSeq["a"] - 1
+	h.join("b")
+	for h.now.Before(ordered.Add(20 * time.Second)) {
+		h.report("a", func(r *control.Report) { r.RunnerGone, r.Applied = true, applied })
+		starts := len(h.report("b", nil).Starts)
+		if age := h.now.Sub(ordered); starts > 0 {
+			if age <= 1500*time.Millisecond {
+				t.Errorf("started elsewhere after %v", age)
+			}
+			return
+		}
+		h.save()
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.core.Tick(h.now)
+	}
+	t.Error("not started elsewhere")
+}
+
+// TestTakeoverAfterStartAtGoneRunner has the leader be lost while the order to start a
+// task is on its way to an agent whose runner seems gone. The runner may come back before
+// the order is too old, so that the next leader must wait for this agent.
+func TestTakeoverAfterStartAtGoneRunner(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("j1", 1, 8))
+	h.report("a", nil)
+	applied := h.ordersSeq["a"] - 1
+	h.report("a", func(r *control.Report) { r.RunnerGone, r.Applied = true, applied })
+	h.save()
+	h.join("b")
+	h.lead(2)
+	h.report("b", nil)
+	h.save()
+	if orders := h.report("b", nil); len(orders.Starts) != 0 {
+		t.Errorf("started %v while it may start elsewhere", orders.Starts)
+	}
+}
