Check that an agent ignores a fence for its predecessor

The test belongs to the numbered fences: a list counts as newer by the number of its fence, which holds only if a process does not answer a fence that was sent to its predecessor.

--- a/internal/agent/restart_test.go
+++ b/internal/agent/restart_test.go
@@ -89,3 +89,18 @@
 		t.Errorf("the other gate was asked %d times, want at least 3", elsewhere)
 	}
 }
+
+// TestFenceForFormerIncarnation checks that a fence that was meant for a former
+// incarnation is not answered with the tasks of this one, and does not raise its epoch.
+func TestFenceForFormerIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.effects = nil
+	h.deliver(wire.Fence{Epoch: order.Epoch + 1, Number: 9, Incarnation: incarnation - 1})
+	expect[wire.HeldTasks](h)
+	h.deliver(wire.Reserve{Order: order, Task: taskID, Share: share})
+	expect(h, wire.Reserved{Epoch: 3, Task: taskID})
+	h.deliver(wire.Fence{Epoch: order.Epoch + 1, Number: 10, Incarnation: incarnation})
+	if lists := take[wire.HeldTasks](h); len(lists) != 1 || lists[0].Fence != 10 {
+		t.Errorf("got lists %+v, want one that answers fence 10", lists)
+	}
+}
