Don't carry out orders from before a pause of an agent

What callers would see: a job runs a second time, beside its new run or after it was done.

Cause: a leader gives up an agent that is silent for 15 s and starts an idempotent job elsewhere. An agent that was paused handles what is queued when it goes on: an order to run from before, for a task that was given up, or the heartbeat of a gang member whose attempt has been stopped since. It has the reservation and started the task.

An agent that made no step for 5 s goes on as another incarnation: orders and fences for the one before are refused, and reservations are released with a tombstone. Tasks that run are kept, as after a restart of the agent.

Evidence: before the fix TestPaused fails, as the agent starts the task and answers under its former incarnation.

Not covered: a suspended machine, since Go's clock stands still meanwhile.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,6 +46,15 @@
 	// DefaultDrainGrace is the time after a Drain in which tasks that were reserved
 	// before it may still start.
 	DefaultDrainGrace = 3 * time.Second
+
+	// DefaultMaxStepInterval is the time between two steps from which on the process was
+	// paused. It is well below the time after which a leader gives up a silent agent, and
+	// several ticks.
+	DefaultMaxStepInterval = 5 * time.Second
+
+	// pauseIncarnations is by how much a pause raises the incarnation, so that it differs
+	// from those of former and later processes, however these are numbered.
+	pauseIncarnations = 1 << 32
 )
 
 type (
@@ -73,6 +82,9 @@
 		store   *machine.Store
 		started bool
 
+		// lastStep is the time of the last step.
+		lastStep time.Time
+
 		// epoch is the newest leader epoch. leader is the gate that sent the last
 		// accepted fence, or empty before the first.
 		epoch  lease.Epoch
@@ -150,6 +162,10 @@
 // Start it ignores all events but Drain.
 func (a *Agent) Step(now time.Time, event machine.Event) []machine.Effect {
 	a.effects = nil
+	if a.started && now.Sub(a.lastStep) > DefaultMaxStepInterval {
+		a.resume(now)
+	}
+	a.lastStep = now
 	if a.started {
 		a.apply(now, event)
 	} else {
@@ -160,6 +176,19 @@
 	return append(a.effects, a.store.Take()...)
 }
 
+// resume goes on after a pause, as another incarnation that has the tasks that run: the
+// leader may have given the agent up and started its tasks elsewhere, and orders and
+// heartbeats from before that are still queued. Reservations are released.
+func (a *Agent) resume(now time.Time) {
+	a.config.Incarnation += pauseIncarnations
+	a.nextAnnounce = now
+	for _, t := range sortedTasks(a.tasks) {
+		if t.phase == wire.PhaseReserved {
+			a.withdraw(now, t, "the agent was paused")
+		}
+	}
+}
+
 func (a *Agent) applyBeforeStart(now time.Time, event machine.Event) {
 	switch e := event.(type) {
 	case Start:
--- a/internal/agent/restart_test.go
+++ b/internal/agent/restart_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/lovageroad/lovageroad/internal/agent"
 	"github.com/lovageroad/lovageroad/internal/wire"
+	"github.com/lovageroad/lovageroad/pkg/gang"
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
@@ -104,3 +105,29 @@
 		t.Errorf("got lists %+v, want one that answers fence 10", lists)
 	}
 }
+
+// TestPaused checks that an agent that was paused does not carry out orders and
+// heartbeats from before that: its leader may have started the task elsewhere.
+func TestPaused(t *testing.T) {
+	h := reserved(t)
+	h.now = h.now.Add(20 * second)
+	h.deliver(wire.Run{Order: order, Task: taskID})
+	h.deliver(wire.GangHeartbeats{Heartbeats: []wire.GangHeartbeat{{Task: taskID, From: 1, State: gang.Running}}})
+	other := wire.TaskID{Job: "other", Attempt: 1, Epoch: 3}
+	h.deliver(wire.Reserve{Order: order, Task: other, Share: share})
+	h.deliver(wire.Run{Order: order, Task: other})
+	expect[agent.RunTask](h)
+	h.deliver(wire.Fence{Epoch: order.Epoch, Number: 1, Incarnation: incarnation})
+	if lists := take[wire.HeldTasks](h); len(lists) != 1 {
+		t.Errorf("got lists %+v, want only the one before the pause", lists)
+	}
+
+	h = running(t)
+	h.effects = nil
+	h.now = h.now.Add(20 * second)
+	h.deliver(wire.Fence{Epoch: order.Epoch})
+	lists := take[wire.HeldTasks](h)
+	if len(lists) != 1 || lists[0].Incarnation == incarnation || len(lists[0].Tasks) != 1 || lists[0].Tasks[0].Phase != wire.PhaseRunning {
+		t.Errorf("got lists %+v, want the running task under another incarnation", lists)
+	}
+}
