Add hung, draining and paused processes, gangs and clocks to the storm

TestStorm now also draws runners that answer no calls for up to 9 s, runners that drain and leave, paused agents, gangs, jobs with two occurrences, and leaders whose wall clocks differ by up to 4 s.

--- a/internal/region/storm_test.go
+++ b/internal/region/storm_test.go
@@ -31,7 +31,12 @@
 		runner      *stormRunner
 		clockRate   float64
 		cutUntil    time.Time
-		heartbeats  uint64
+
+		// hungUntil is until when the runner answers no calls, startsAt when a new
+		// incarnation of it comes up, and pausedUntil until when the process is
+		// suspended.
+		hungUntil, startsAt, pausedUntil time.Time
+		heartbeats                       uint64
 	}
 
 	// stormRunner is an incarnation of a runner.
@@ -172,6 +177,9 @@
 	core := a.core
 	a.s.every(core, a, 100*time.Millisecond, func() { a.step(core, runner.Tick{}) })
 	a.s.every(core, a, 800*time.Millisecond, func() {
+		if s := a.s; s.now.Before(a.hungUntil) || s.now.Before(a.startsAt) {
+			return
+		}
 		a.heartbeats++
 		a.step(core, runner.Heartbeat{Runner: a.runner.description, Seq: a.heartbeats, Clock: a.runner.clock()})
 	})
@@ -189,7 +197,11 @@
 
 // step applies an event to a process, if it lives, and carries out its effects.
 func (a *stormAgent) step(core *runner.Core, event any) {
-	if a.core != core {
+	if a.core != core || core == nil {
+		return
+	}
+	if a.s.now.Before(a.pausedUntil) {
+		a.s.after(a.pausedUntil.Sub(a.s.now), func() { a.step(core, event) })
 		return
 	}
 	for _, effect := range core.Step(a.s.now, event) {
@@ -264,6 +276,13 @@
 // process. An answer may be lost, and the call be carried out late.
 func call(a *stormAgent, core *runner.Core, timeout, wait time.Duration, execute func(runner.Answer, *stormRunner) any) {
 	s := a.s
+	if s.now.Before(a.hungUntil) || s.now.Before(a.startsAt) {
+		if s.now.Before(a.hungUntil) && s.chance(0.5) {
+			s.after(a.hungUntil.Sub(s.now), func() { execute(runner.Accepted, a.runner) })
+		}
+		s.after(timeout, func() { a.step(core, execute(runner.NoAnswer, a.runner)) })
+		return
+	}
 	if s.chance(0.04) {
 		if s.chance(0.7) {
 			s.after(s.between(0, 3*time.Second), func() { execute(runner.Accepted, a.runner) })
@@ -311,7 +330,7 @@
 // trouble has a random agent be cut off, restarted, or its runner be replaced.
 func (s *storm) trouble() {
 	a := s.agents[s.random.IntN(len(s.agents))]
-	switch s.random.IntN(4) {
+	switch s.random.IntN(7) {
 	case 0, 1:
 		a.cutUntil = s.now.Add(s.between(100*time.Millisecond, 9*time.Second))
 		s.log("%s: cut until %v", a.id, a.cutUntil.Sub(time.Unix(1000, 0)))
@@ -321,6 +340,24 @@
 	case 3:
 		s.log("%s: runner replaced", a.id)
 		a.runner = newStormRunner(a)
+	case 4:
+		a.hungUntil = s.now.Add(s.between(100*time.Millisecond, 9*time.Second))
+		s.log("%s: runner hangs until %v", a.id, a.hungUntil.Sub(time.Unix(1000, 0)))
+	case 5:
+		s.log("%s: runner drains and leaves", a.id)
+		r := a.runner
+		r.description.Draining = true
+		s.after(s.between(time.Second, 4*time.Second), func() {
+			if a.runner != r {
+				return
+			}
+			a.runner = newStormRunner(a)
+			a.startsAt = s.now.Add(s.between(0, 10*time.Second))
+			a.step(a.core, runner.Gone{ID: r.description.ID})
+		})
+	case 6:
+		a.pausedUntil = s.now.Add(s.between(100*time.Millisecond, 4*time.Second))
+		s.log("%s: process paused until %v", a.id, a.pausedUntil.Sub(time.Unix(1000, 0)))
 	}
 	s.after(s.between(300*time.Millisecond, 3*time.Second), s.trouble)
 }
@@ -329,6 +366,13 @@
 func (s *storm) submit() {
 	s.jobs++
 	j := gpuJob(work.JobID(fmt.Sprintf("j%03d", s.jobs)), 1+s.random.IntN(2), 4)
+	switch s.random.IntN(4) {
+	case 0:
+		j.Steps[0].Gang = true
+	case 1:
+		j.OccurrenceCount, j.Interval = 2, 8*time.Second
+		j.FirstDue = work.TimestampOf(s.now.Add(s.between(0, 3*time.Second)))
+	}
 	value, err := cbor.Marshal(region.Submission{Job: j, Pool: pool, MaxFailures: 5, ObjectiveFactor: 3})
 	if err != nil {
 		s.t.Fatal(err)
--- a/internal/region/storm_world_test.go
+++ b/internal/region/storm_world_test.go
@@ -148,6 +148,7 @@
 	s.log("leader of epoch %d at %s", s.epoch, l.gate)
 	s.after(s.between(5*time.Millisecond, 300*time.Millisecond), func() {
 		core := region.New(began, l.epoch, table.Check{Key: epochKey, Version: version}, version, testConfiguration())
+		core.SetWallClockOffset(s.between(-2*time.Second, 2*time.Second))
 		core.SetLog(func(e region.LogEntry) { s.log("%s %v", e.Event, e.KeyValues()) })
 		var sets [5][]table.Row
 		for i, prefix := range []table.Key{region.JobPrefix, region.CancelPrefix, region.RecordPrefix, region.AgentPrefix, region.RunTimesKey} {
