Log what the agent believes of each task at its runner

An agent logged only unanswered and refused starts. Afterwards nobody could tell whether a task was confirmed by its start or by a list, was found in a list that this process did not order, ended with a result or vanished without one, nor which lease its start had asked for.

One line for each of these changes of belief, with the fencing token and the number of the list; "start sent" has the lease end, the estimated clock and the orders. "runner silent" has the lease end. No line is written for renewals that change nothing, so a task costs four lines.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -137,6 +137,9 @@
 func (c *Core) applyStop(stop control.Stop) {
 	key := runKey{stop.Task, stop.Run}
 	if t := c.tasks[key]; t != nil {
+		if !t.stopWanted {
+			c.log("stop ordered", "task", key.task.String(), "run", key.run, "running", t.phase == control.Running, "orders", c.applied)
+		}
 		t.stopWanted = true
 		return
 	}
@@ -189,6 +192,8 @@
 	t.token = c.nextToken()
 	until := min(c.heldUntil, c.runnerNow(now)+Clock(startValidity/time.Millisecond))
 	c.requestedUntil = max(c.requestedUntil, until)
+	c.log("start sent", "task", t.start.Task.String(), "run", t.start.Run, "token", t.token, "until", until,
+		"clock", c.runnerNow(now), "held", c.heldUntil, "orders", c.applied)
 	c.effects = append(c.effects, StartTask{Runner: c.runner.ID, Start: t.start, Token: t.token, Until: until})
 }
 
@@ -204,6 +209,7 @@
 	case Accepted:
 		t.phase, t.confirmedAt = control.Running, now
 		c.reportDue = true
+		c.log("task confirmed", "task", key.task.String(), "run", key.run, "token", t.token, "list", 0)
 	case Fenced:
 		if t.token < c.nextToken() && !t.stopWanted {
 			c.sendStart(now, t)
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -23,7 +23,7 @@
 		}
 	case OtherIncarnation:
 		c.lastAnswer = now
-		c.log("runner is another", "runner", c.runner.ID.Name)
+		c.log("runner is another", "runner", c.runner.ID.Name, "born", c.runner.ID.Incarnation, "tasks", len(c.tasks), "list", e.Call.Number)
 		c.dropTasks()
 	default:
 		c.nextRenewal = now.Add(renewalRetry)
@@ -46,6 +46,8 @@
 		if _, known := c.results[end.ID]; !known {
 			c.results[end.ID] = end
 			c.reportDue = true
+			c.log("result listed", "task", end.Task.String(), "run", end.Run, "result", end.ID,
+				"outcome", end.Outcome, "list", e.Call.Number)
 		}
 		delete(c.tasks, runKey{end.Task, end.Run})
 	}
@@ -53,7 +55,7 @@
 	for _, listed := range e.Tasks {
 		key := runKey{listed.ID, listed.Run}
 		present[key] = true
-		c.applyListed(now, key, listed)
+		c.applyListed(now, key, listed, e.Call)
 	}
 	for _, key := range c.sortedRuns() {
 		if !present[key] {
@@ -63,14 +65,16 @@
 }
 
 // applyListed records a task that is in the runner's list.
-func (c *Core) applyListed(now time.Time, key runKey, listed control.Task) {
+func (c *Core) applyListed(now time.Time, key runKey, listed control.Task, call RenewLease) {
 	t := c.tasks[key]
 	if t == nil {
-		t = &task{start: control.Start{Task: listed.ID, Run: listed.Run}, confirmedAt: now}
+		t = &task{start: control.Start{Task: listed.ID, Run: listed.Run}, phase: control.Running, confirmedAt: now}
 		c.tasks[key] = t
 		c.reportDue = true
+		c.log("task found", "task", key.task.String(), "run", key.run, "token", call.Token, "list", call.Number)
 	}
 	if t.phase != control.Running || t.uncertain {
+		c.log("task confirmed", "task", key.task.String(), "run", key.run, "token", t.token, "list", call.Number)
 		t.phase, t.confirmedAt, t.uncertain = control.Running, now, false
 		c.reportDue = true
 	}
@@ -90,6 +94,8 @@
 	case t.phase == control.Running && !t.uncertain && e.Call.Sent.After(t.confirmedAt):
 		delete(c.tasks, key)
 		c.reportDue = true
+		c.log("task missing", "task", key.task.String(), "run", key.run, "token", e.Call.Token,
+			"list", e.Call.Number, "age", e.Call.Sent.Sub(t.confirmedAt))
 	}
 }
 
@@ -145,7 +151,7 @@
 	// The lease lasts longer if the runner's clock runs slow: 4 % are allowed for
 	// that.
 	if now.Sub(c.runnerClockAt) > remaining+remaining/25+c.config.MaxOrdersAge {
-		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.lastAnswer))
+		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.lastAnswer), "until", c.requestedUntil, "clock", c.runnerClock)
 		c.dropTasks()
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -381,7 +381,7 @@
 	if c.runner == nil || c.runner.ID.Name != e.ID.Name || e.ID.Incarnation != 0 && e.ID.Incarnation != c.runner.ID.Incarnation {
 		return
 	}
-	c.log("runner left", "runner", e.ID.Name, "tasks", len(c.tasks))
+	c.log("runner left", "runner", e.ID.Name, "born", e.ID.Incarnation, "tasks", len(c.tasks))
 	c.dropTasks()
 }
 
