Bound a runner's clock from below, so that an idle time does not lengthen its lease

What callers would see: a task that must run once runs twice. The leader gives the tasks of an agent up 7.62 s after its last orders (6 s of hold on a clock that is 2 % slow, and 1.5 s); the lease at the runner could last longer.

Cause: the agent took the runner's clock to be its last reading plus the time since, at the full rate. An idle agent makes no renewals, so the reading grew old, the clock was overestimated by 2 % of the idle time, and the lease end that follows from it never shrinks. The bound of the leader is exceeded from about 74 s of idle time on, if the agent loses the leader right after the first start.

Evidence: TestLeaseAfterIdleTime failed before the fix: the lease ended 1600 ms after the hold time of the orders for 80 s of idle time, 6000 ms for 5 min, 72000 ms for an hour.

Fix: the elapsed time counts with the slowest rate that a runner may have, and each heartbeat reads the clock, too; a reading below the known bound is ignored. The bound is never above the clock, so the lease ends within the hold time for any idle time. The test checks as well that the lease is not over 200 ms shorter.

Ruled out: shrinking the lease end afterwards, since a lease at a runner never shortens. Without heartbeats there is no such start: the agent refuses starts of a runner that has been silent for 3.5 s.

--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -33,7 +33,8 @@
 // applyList updates the agent's view of the runner to the runner's list of its
 // tasks and results.
 func (c *Core) applyList(now time.Time, e RenewLeaseResult) {
-	c.runnerClock, c.runnerClockAt, c.lastAnswer = e.Clock, now, now
+	c.readClock(now, e.Clock)
+	c.lastAnswer = now
 	c.ackForwarded = max(c.ackForwarded, e.Call.Acked)
 	if c.runnerGone || !c.listComplete {
 		c.runnerGone, c.listComplete, c.reportDue = false, true, true
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -374,6 +374,7 @@
 	runner := e.Runner
 	c.runner = &runner
 	c.heartbeatSeq, c.lastHeartbeat = e.Seq, now
+	c.readClock(now, e.Clock)
 }
 
 // onGone records that the runner has shut down and runs nothing any more.
@@ -396,12 +397,6 @@
 	return Token(c.epoch)<<32 | Token(c.fence)<<16 | Token(c.unansweredStarts)
 }
 
-// runnerNow estimates what the runner's clock shows: its last reading plus the time
-// since that arrived. The clock shows at least that, unless it runs slow.
-func (c *Core) runnerNow(now time.Time) Clock {
-	return c.runnerClock + Clock(now.Sub(c.runnerClockAt)/time.Millisecond)
-}
-
 // sortedRuns returns the agent's runs in a fixed order.
 func (c *Core) sortedRuns() []runKey {
 	keys := slices.Collect(maps.Keys(c.tasks))
