Report another incarnation of a runner only when it has listed its tasks

What callers would see: a task that must run once runs twice at the same time.

Cause: calls to a runner name its id, not its incarnation. A runner that starts again under its id takes a start that was meant for its former incarnation, at once or seconds later; it has seen no fencing token, and the lease end by the former clock lies far ahead on its new one. The agent dropped all tasks as gone when a list came from another incarnation, and its report named the new incarnation with its first heartbeat, from which the leader concludes the same. So the leader ordered the task elsewhere while it ran. In the same way a delayed heartbeat of a former runner that a restarted agent heard first made the leader give up the tasks of the present one.

Evidence: before the fix TestStartReachesNextIncarnation failed in all four orders of events ("the report gives the run up", and the list was requested under the token of the start, so that the start could still take effect after it), and TestLateHeartbeatOfFormerRunner failed ("report of a former runner"). TestSilentSuccessor failed, too: tasks of an agent without a complete list were never given up.

Fix: the first heartbeat of an incarnation makes the agent raise its fencing token and ask that incarnation for its list. Until the list has arrived the agent reports the former runner with its tasks and an incomplete list, and applies no starts. The list shows a start that has taken effect, and the token rejects it from then on, as it rejects late renewals with acknowledgements of the former incarnation. A list from another incarnation makes the agent wait for its heartbeat. An answer 421 says that another runner listens there, which does nothing for the call: the tasks are gone at once, as before.

Ruled out: a time after which a late start has no effect, since its lease end is cut to the longest lease of the new clock; naming the incarnation in the header, which the runner protocol does not have.

Limits: a start without an answer is not fenced if no incarnation answers any more; the tasks are then given up when the lease has expired.

--- /dev/null
+++ b/internal/runner/incarnation.go
@@ -0,0 +1,121 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+)
+
+// onHeartbeat records a heartbeat of the runner. Late ones and those of former
+// incarnations are ignored.
+func (c *Core) onHeartbeat(now time.Time, e Heartbeat) {
+	switch id := e.Runner.ID; {
+	case c.successor != nil && c.successor.Runner.ID == id:
+		if e.Seq > c.successor.Seq {
+			c.successor, c.lastHeartbeat = &e, now
+		}
+	case c.successor != nil && id.Incarnation < c.successor.Runner.ID.Incarnation:
+	case c.runner != nil && c.runner.ID == id:
+		c.updateRunner(now, e)
+	case c.runner != nil && id.Incarnation < c.runner.ID.Incarnation:
+	default:
+		c.beginSuccession(now, e)
+	}
+}
+
+// updateRunner records a heartbeat of the runner that is known already.
+func (c *Core) updateRunner(now time.Time, e Heartbeat) {
+	if e.Seq <= c.heartbeatSeq {
+		return
+	}
+	if c.runner.Draining != e.Runner.Draining {
+		c.reportDue = true
+		c.log("runner drains", "runner", e.Runner.ID.Name, "remaining", e.Runner.Remaining)
+	}
+	runner := e.Runner
+	c.runner = &runner
+	c.heartbeatSeq, c.lastHeartbeat = e.Seq, now
+	c.readClock(now, e.Clock)
+}
+
+// beginSuccession handles the first heartbeat of an incarnation. A start that was meant
+// for a former incarnation of the same name may have reached this one, or still may.
+// So the former one is reported until this one has listed its tasks under a fencing
+// token that is higher than those of all starts before.
+func (c *Core) beginSuccession(now time.Time, e Heartbeat) {
+	c.log("runner found", "runner", e.Runner.ID.Name, "born", e.Runner.ID.Incarnation, "draining", e.Runner.Draining, "tasks", len(c.tasks))
+	c.successor = &e
+	c.lastHeartbeat = now
+	c.unansweredStarts++
+	c.requestNewList()
+	c.nextRenewal = time.Time{}
+}
+
+// completeSuccession replaces the runner by its successor, which has answered.
+func (c *Core) completeSuccession(now time.Time, clock Clock) {
+	next := c.successor
+	c.resetRunner()
+	c.runner, c.heartbeatSeq = &next.Runner, next.Seq
+	c.runnerClock, c.runnerClockAt = clock, now
+}
+
+// requestNewList says that the tasks are not known until a list has arrived that is
+// requested from now on.
+func (c *Core) requestNewList() {
+	c.listComplete, c.renewing, c.listRequest = false, false, 0
+}
+
+// onOtherRunner records that the runner is not the one that listens at its address, so
+// that it runs nothing and starts nothing any more.
+func (c *Core) onOtherRunner(now time.Time, call RenewLease) {
+	c.lastAnswer, c.nextRenewal = now, now.Add(renewalRetry)
+	if !c.runnerGone {
+		c.log("runner is another", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number)
+	}
+	if c.successor != nil {
+		// The heartbeat was late. The runner that was known before may still be there.
+		c.successor = nil
+		c.requestNewList()
+		return
+	}
+	c.dropTasks()
+}
+
+// onOtherIncarnation records that the runner was started again under its name. The
+// agent waits for the new incarnation's heartbeat.
+func (c *Core) onOtherIncarnation(now time.Time, call RenewLease) {
+	c.lastAnswer, c.nextRenewal = now, now.Add(renewalRetry)
+	if c.listComplete || c.successor != nil {
+		c.log("runner started again", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number)
+		c.reportDue = true
+	}
+	c.successor = nil
+	c.requestNewList()
+}
+
+// onGone records that the runner has shut down and runs nothing any more.
+func (c *Core) onGone(e Gone) {
+	if c.runner == nil || c.runner.ID.Name != e.ID.Name || e.ID.Incarnation != 0 && e.ID.Incarnation != c.runner.ID.Incarnation {
+		return
+	}
+	c.log("runner left", "runner", e.ID.Name, "born", e.ID.Incarnation, "tasks", len(c.tasks))
+	c.dropTasks()
+}
+
+// dropTasks records that nothing runs at the runner any more.
+func (c *Core) dropTasks() {
+	c.tasks = make(map[runKey]*task)
+	c.listComplete, c.runnerGone, c.reportDue = true, true, true
+}
+
+// callee returns the incarnation that renewals go to: the successor, if there is one.
+// It returns false if no incarnation is known.
+func (c *Core) callee() (control.RunnerID, bool) {
+	switch {
+	case c.successor != nil:
+		return c.successor.Runner.ID, true
+	case c.runner != nil:
+		return c.runner.ID, true
+	}
+	return control.RunnerID{}, false
+}
--- /dev/null
+++ b/internal/runner/incarnation_test.go
@@ -0,0 +1,177 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/runner"
+)
+
+// reborn is the runner self after it was started again under its name, and successor
+// another runner at its address.
+var (
+	reborn    = control.RunnerID{Name: "i-1", Incarnation: 2}
+	successor = control.RunnerID{Name: "i-2", Incarnation: 2}
+)
+
+// heartbeatOf sends the first heartbeat of a runner.
+func (h *harness) heartbeatOf(id control.RunnerID) {
+	h.step(runner.Heartbeat{Runner: control.Runner{ID: id, Pool: "p"}, Seq: 1, Clock: 100})
+}
+
+// listFrom answers a renewal with the list of a runner whose clock has just begun.
+func (h *harness) listFrom(renewal runner.RenewLease, tasks ...control.Task) {
+	h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: 200, Tasks: tasks})
+}
+
+// checkHeld fails the test if a report of the last step lets the leader conclude that the
+// first run does not run: it names another runner, says that the runner is gone, or its
+// list is complete without the run.
+func (h *harness) checkHeld(when string) {
+	h.t.Helper()
+	for _, effect := range h.effects {
+		send, ok := effect.(runner.Send)
+		if !ok {
+			continue
+		}
+		report := send.Report
+		if report.Runner == nil || report.Runner.ID != self || report.RunnerGone || report.Complete && len(report.Tasks) == 0 {
+			h.t.Errorf("%s: the report gives the run up: %+v", when, report)
+		}
+	}
+}
+
+// startFirst orders the first run to start and returns the call.
+func (h *harness) startFirst() runner.StartTask {
+	h.t.Helper()
+	h.sendOrders(h.ready(), func(o *control.Orders) { o.Starts = []control.Start{start(1)} })
+	return must[runner.StartTask](h)
+}
+
+// TestStartReachesNextIncarnation has a runner start again under its name before it gets a
+// start that was meant for its former incarnation. The agent learns of that from a
+// list or from a heartbeat, before or after the start is answered. It must not give the run
+// up before the new incarnation has listed its tasks under a higher fencing token.
+func TestStartReachesNextIncarnation(t *testing.T) {
+	for name, c := range map[string]struct{ accepted, listFirst bool }{
+		"accepted, list": {true, true}, "accepted, heartbeat": {true, false},
+		"in flight, list": {false, true}, "in flight, heartbeat": {false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			call := h.startFirst()
+			renewal := must[runner.RenewLease](h)
+			if c.accepted {
+				h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+				h.checkHeld("accepted")
+			}
+			if c.listFirst {
+				h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.OtherIncarnation, Clock: 150})
+				h.checkHeld("list of another incarnation")
+				for range 5 {
+					h.wait(100 * time.Millisecond)
+					h.checkHeld("wait for a heartbeat")
+				}
+			}
+			h.heartbeatOf(reborn)
+			h.checkHeld("heartbeat")
+			list := must[runner.RenewLease](h)
+			if list.Runner != reborn || list.Token <= call.Token || list.Until != 0 || list.Acked != 0 {
+				t.Errorf("list requested by %+v after token %d", list, call.Token)
+			}
+			h.listFrom(list, control.Task{ID: start(1).Task, Run: 1, Phase: control.Running})
+			report := must[runner.Send](h).Report
+			if report.Runner == nil || report.Runner.ID != reborn || !report.Complete || len(report.Tasks) != 1 {
+				t.Errorf("report after the list: %+v", report)
+			}
+		})
+	}
+}
+
+// TestFencedByNextIncarnation has the next incarnation of a runner reject a start that
+// was meant for the former one. The agent must not repeat it there.
+func TestFencedByNextIncarnation(t *testing.T) {
+	h := newHarness(t)
+	call := h.startFirst()
+	h.heartbeatOf(reborn)
+	h.step(runner.StartResult{Call: call, Answer: runner.Fenced})
+	if repeated, ok := find[runner.StartTask](h); ok {
+		t.Errorf("start repeated: %+v", repeated)
+	}
+}
+
+// TestReplacedRunnerIsGone has another runner answer at the address, which rejects all
+// calls to the former one. The agent reports at once that its tasks are gone.
+func TestReplacedRunnerIsGone(t *testing.T) {
+	h := newHarness(t)
+	call := h.startFirst()
+	renewal := must[runner.RenewLease](h)
+	h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+	h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.OtherRunner})
+	if report := must[runner.Send](h).Report; !report.RunnerGone || len(report.Tasks) != 0 {
+		t.Errorf("report %+v", report)
+	}
+	if renewal, ok := find[runner.RenewLease](h); ok {
+		t.Errorf("%+v without a back-off", renewal)
+	}
+	h.heartbeatOf(successor)
+	h.listFrom(must[runner.RenewLease](h))
+	h.wait(time.Millisecond)
+	if send, ok := find[runner.Send](h); ok && (send.Report.Runner.ID != successor || send.Report.RunnerGone) {
+		t.Errorf("report of the successor: %+v", send.Report)
+	}
+}
+
+// TestLateHeartbeatOfFormerRunner lets an agent that was just started hear a delayed
+// heartbeat of a runner that has been replaced. Reporting it would make the leader give
+// up the tasks of the present runner.
+func TestLateHeartbeatOfFormerRunner(t *testing.T) {
+	h := newHarness(t)
+	h.heartbeat()
+	h.sendOrders(must[runner.Send](h), func(o *control.Orders) { o.Runner = successor })
+	h.step(runner.RenewLeaseResult{Call: must[runner.RenewLease](h), Answer: runner.OtherRunner})
+	for range 20 {
+		for _, effect := range h.effects {
+			if send, ok := effect.(runner.Send); ok {
+				if send.Report.Runner != nil {
+					t.Fatalf("report of a former runner: %+v", send.Report)
+				}
+				h.sendOrders(send, func(o *control.Orders) { o.Runner = successor })
+				break
+			}
+		}
+		h.wait(100 * time.Millisecond)
+	}
+	h.heartbeatOf(successor)
+	h.listFrom(must[runner.RenewLease](h))
+	h.wait(time.Second)
+}
+
+// TestSilentSuccessor has the next incarnation of a runner not answer. The agent gives
+// the tasks up when the lease has expired, not before.
+func TestSilentSuccessor(t *testing.T) {
+	h := newHarness(t)
+	call := h.startFirst()
+	h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+	h.heartbeatOf(reborn)
+	began := h.now
+	for range 300 {
+		h.wait(50 * time.Millisecond)
+		for _, effect := range h.effects {
+			switch e := effect.(type) {
+			case runner.RenewLease:
+				h.step(runner.RenewLeaseResult{Call: e, Answer: runner.NoAnswer})
+			case runner.Send:
+				if e.Report.RunnerGone {
+					if age := h.now.Sub(began); age < 6*time.Second {
+						t.Errorf("tasks given up after %s", age)
+					}
+					return
+				}
+				h.sendOrders(e, nil)
+			}
+		}
+	}
+	t.Error("the tasks were not given up")
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -211,7 +211,7 @@
 		c.reportDue = true
 		c.log("task confirmed", "task", key.task.String(), "run", key.run, "token", t.token, "list", 0)
 	case Fenced:
-		if t.token < c.nextToken() && !t.stopWanted {
+		if t.token < c.nextToken() && !t.stopWanted && c.listComplete {
 			c.sendStart(now, t)
 			return
 		}
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -10,7 +10,7 @@
 
 // onRenewLeaseResult handles the runner's answer to a lease renewal.
 func (c *Core) onRenewLeaseResult(now time.Time, e RenewLeaseResult) {
-	if c.runner == nil || c.runner.ID != e.Call.Runner {
+	if callee, ok := c.callee(); !ok || callee != e.Call.Runner {
 		return
 	}
 	if e.Call.Number == c.renewals {
@@ -22,9 +22,9 @@
 			c.applyList(now, e)
 		}
 	case OtherIncarnation:
-		c.lastAnswer = now
-		c.log("runner is another", "runner", c.runner.ID.Name, "born", c.runner.ID.Incarnation, "tasks", len(c.tasks), "list", e.Call.Number)
-		c.dropTasks()
+		c.onOtherIncarnation(now, e.Call)
+	case OtherRunner:
+		c.onOtherRunner(now, e.Call)
 	default:
 		c.nextRenewal = now.Add(renewalRetry)
 	}
@@ -33,6 +33,9 @@
 // applyList updates the agent's view of the runner to the runner's list of its
 // tasks and results.
 func (c *Core) applyList(now time.Time, e RenewLeaseResult) {
+	if c.successor != nil {
+		c.completeSuccession(now, e.Clock)
+	}
 	c.readClock(now, e.Clock)
 	c.lastAnswer = now
 	c.ackForwarded = max(c.ackForwarded, e.Call.Acked)
@@ -104,7 +107,8 @@
 // need or a renewal is in flight. After a start without an answer it does not wait
 // for the one in flight.
 func (c *Core) renewLease(now time.Time) {
-	if c.runner == nil || c.epoch == 0 || now.Before(c.nextRenewal) {
+	callee, ok := c.callee()
+	if !ok || c.epoch == 0 || now.Before(c.nextRenewal) {
 		return
 	}
 	needsList := !c.listComplete || c.runnerGone || slices.ContainsFunc(slices.Collect(maps.Values(c.tasks)), func(t *task) bool { return t.uncertain })
@@ -119,15 +123,19 @@
 	if needsList || len(c.tasks) == 0 {
 		wait = 0
 	}
-	until := c.heldUntil
+	until, acked := c.heldUntil, c.acked
 	if now.Sub(c.lastAnswer) > c.config.AnswerTimeout {
 		until = 0
 	}
+	if !c.listComplete {
+		// They are for the former incarnation, whose clock and results had other numbers.
+		until, acked = 0, 0
+	}
 	c.requestedUntil = max(c.requestedUntil, until)
 	c.renewals++
 	c.renewing, c.listRequest = true, c.renewals
 	c.effects = append(c.effects, RenewLease{
-		Runner: c.runner.ID, Number: c.renewals, Sent: now, Token: c.nextToken(), Until: until, Acked: c.acked, Wait: wait,
+		Runner: callee, Number: c.renewals, Sent: now, Token: c.nextToken(), Until: until, Acked: acked, Wait: wait,
 	})
 }
 
@@ -142,7 +150,7 @@
 // has expired by its own clock. If the runner has no tasks, its heartbeats must be
 // missing, too.
 func (c *Core) expireLease(now time.Time) {
-	if c.runner == nil || c.runnerGone || !c.listComplete || now.Sub(c.lastAnswer) <= c.config.AnswerTimeout {
+	if c.runner == nil || c.runnerGone || now.Sub(c.lastAnswer) <= c.config.AnswerTimeout {
 		return
 	}
 	if len(c.tasks) == 0 && now.Sub(c.lastHeartbeat) <= c.config.HeartbeatTimeout {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,10 +28,15 @@
 	// fencing token.
 	Fenced
 
-	// OtherIncarnation says that another runner, or another incarnation of the same one,
-	// listens at the address.
+	// OtherIncarnation says that the runner has been started again under the same name.
+	// Calls name only that, so it may have carried out any call to its former
+	// incarnation.
 	OtherIncarnation
 
+	// OtherRunner says that another runner listens at the address. It does nothing for
+	// the call.
+	OtherRunner
+
 	// NoAnswer says that there was no answer: the call may have been carried
 	// out, or may be later.
 	NoAnswer
@@ -127,7 +132,7 @@
 		reportDue  bool
 		nextReport time.Time
 
-		// runner is nil until its first heartbeat. Its clock showed runnerClock at
+		// runner is nil until a runner has listed its tasks. Its clock showed runnerClock at
 		// runnerClockAt. lastAnswer is when it last answered; a renewal that it
 		// refused or fenced does not count.
 		runner       *control.Runner
@@ -137,6 +142,10 @@
 		lastAnswer,
 		lastHeartbeat time.Time
 
+		// successor is the last heartbeat of an incarnation that has not listed its
+		// tasks yet, or nil.
+		successor *Heartbeat
+
 		// listComplete says that tasks is complete, and runnerGone that nothing runs at
 		// the runner any more.
 		listComplete bool
@@ -343,7 +352,7 @@
 
 // resetRunner removes all state of the runner.
 func (c *Core) resetRunner() {
-	c.runner = nil
+	c.runner, c.successor = nil, nil
 	c.listComplete, c.runnerGone = false, false
 	c.heartbeatSeq, c.heldUntil, c.requestedUntil = 0, 0, 0
 	c.renewing, c.listRequest = false, 0
@@ -353,45 +362,6 @@
 	c.refusals = make(map[runKey]string)
 }
 
-// onHeartbeat records a heartbeat of the runner. Late ones and those of a former
-// incarnation are ignored.
-func (c *Core) onHeartbeat(now time.Time, e Heartbeat) {
-	if c.runner != nil && c.runner.ID == e.Runner.ID && e.Seq <= c.heartbeatSeq {
-		return
-	}
-	if c.runner != nil && e.Runner.ID.Incarnation < c.runner.ID.Incarnation {
-		return
-	}
-	if c.runner == nil || c.runner.ID != e.Runner.ID {
-		c.resetRunner()
-		c.runnerClock, c.runnerClockAt, c.lastAnswer = e.Clock, now, now
-		c.reportDue = true
-		c.log("runner found", "runner", e.Runner.ID.Name, "born", e.Runner.ID.Incarnation, "draining", e.Runner.Draining)
-	} else if c.runner.Draining != e.Runner.Draining {
-		c.reportDue = true
-		c.log("runner drains", "runner", e.Runner.ID.Name, "remaining", e.Runner.Remaining)
-	}
-	runner := e.Runner
-	c.runner = &runner
-	c.heartbeatSeq, c.lastHeartbeat = e.Seq, now
-	c.readClock(now, e.Clock)
-}
-
-// onGone records that the runner has shut down and runs nothing any more.
-func (c *Core) onGone(e Gone) {
-	if c.runner == nil || c.runner.ID.Name != e.ID.Name || e.ID.Incarnation != 0 && e.ID.Incarnation != c.runner.ID.Incarnation {
-		return
-	}
-	c.log("runner left", "runner", e.ID.Name, "born", e.ID.Incarnation, "tasks", len(c.tasks))
-	c.dropTasks()
-}
-
-// dropTasks records that nothing runs at the runner any more.
-func (c *Core) dropTasks() {
-	c.tasks = make(map[runKey]*task)
-	c.listComplete, c.runnerGone, c.reportDue = true, true, true
-}
-
 // nextToken returns the fencing token of the next call.
 func (c *Core) nextToken() Token {
 	return Token(c.epoch)<<32 | Token(c.fence)<<16 | Token(c.unansweredStarts)
