Extend no lease by orders that answer a report without a runner

What callers would see: a task that must run once runs twice at the same time.

Cause: a leader that answers a report without a runner does not extend its hold of the agent's tasks, but its orders name the runner that it knows from before. An agent that was just started, and found the runner while such an answer was on its way, took these orders as extending the lease by 6 s. If it then loses the leader, the tasks run on for up to 6 s after the leader has given them up.

Evidence: TestOrdersForUnknownRunner failed before the fix ("lease until 11000 requested", and a start was sent). It also checks that orders for the reported runner do extend it.

Fix: orders that answer a report without a runner set the epoch and the leader only. They do not count as applied, so the leader repeats the starts.

Ruled out: the same for a report that names a former incarnation, since the orders then name that one, too, and are ignored.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -75,6 +75,10 @@
 	if c.runner == nil || e.Orders.Runner != c.runner.ID || c.runnerGone {
 		return
 	}
+	if e.Call.Report.Runner == nil {
+		// The leader does not extend its hold for a report without a runner.
+		return
+	}
 	if c.listComplete {
 		// Orders whose starts are not carried out must not be reported as
 		// applied: the leader would conclude that those runs have ended.
