Ask a runner's address before its departure counts

What callers would see: a task that must run once runs twice at the same time.

Cause: a DELETE names the id of a runner only, and has no body. One that was delayed until the runner has started again under its id made the agent report all tasks of the present incarnation as gone, and the leader ordered them elsewhere. A runner whose DELETE gets no answer also goes on for seconds, while the agent has reported its end.

The tasks are gone when nobody listens at the address or another runner answers there. A list keeps them, and a later heartbeat takes the departure back. While the next incarnation has not listed its tasks, a departure is ignored.

Ruled out: believing departures of the known incarnation only, since none names it.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -34,7 +34,7 @@
 	}
 	runner := e.Runner
 	c.runner = &runner
-	c.heartbeatSeq, c.lastHeartbeat = e.Seq, now
+	c.heartbeatSeq, c.lastHeartbeat, c.departing = e.Seq, now, false
 	c.readClock(now, e.Clock)
 }
 
@@ -93,19 +93,34 @@
 	c.requestNewList()
 }
 
-// onGone records that the runner has shut down and runs nothing any more.
+// onGone handles the departure of a runner. A departure that was delayed may be that of
+// a former incarnation, and a runner whose departure is not acknowledged goes on for
+// seconds. So the runner's address is asked: it is gone if nobody listens there.
 func (c *Core) onGone(e Gone) {
-	if c.runner == nil || c.runner.ID.Name != e.ID.Name || e.ID.Incarnation != 0 && e.ID.Incarnation != c.runner.ID.Incarnation {
+	if c.successor != nil || c.runner == nil || c.runnerGone || c.runner.ID.Name != e.ID.Name {
+		return
+	}
+	if e.ID.Incarnation != 0 && e.ID.Incarnation != c.runner.ID.Incarnation {
 		return
 	}
 	c.log("runner left", "runner", e.ID.Name, "born", e.ID.Incarnation, "tasks", len(c.tasks))
-	c.dropTasks()
+	c.departing = true
+	c.listRequest, c.nextRenewal = 0, time.Time{}
+}
+
+// onUnreachable records that nobody listens at the runner's address.
+func (c *Core) onUnreachable(now time.Time, call RenewLease) {
+	c.nextRenewal = now.Add(renewalRetry)
+	if c.departing && c.successor == nil && call.Number == c.renewals {
+		c.log("runner ended", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number)
+		c.dropTasks()
+	}
 }
 
 // dropTasks records that nothing runs at the runner any more.
 func (c *Core) dropTasks() {
 	c.tasks = make(map[runKey]*task)
-	c.listComplete, c.runnerGone, c.reportDue = true, true, true
+	c.departing, c.listComplete, c.runnerGone, c.reportDue = false, true, true, true
 }
 
 // callee returns the incarnation that renewals go to: the successor, if there is one.
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -25,6 +25,8 @@
 		c.onOtherIncarnation(now, e.Call)
 	case OtherRunner:
 		c.onOtherRunner(now, e.Call)
+	case Unreachable:
+		c.onUnreachable(now, e.Call)
 	default:
 		c.nextRenewal = now.Add(renewalRetry)
 	}
@@ -43,6 +45,9 @@
 		c.runnerGone, c.listComplete, c.reportDue = false, true, true
 	}
 	c.listRequest = e.Call.Number
+	if c.departing {
+		c.nextRenewal = now.Add(renewalRetry)
+	}
 	for _, end := range e.Results {
 		if end.ID <= c.acked {
 			continue
@@ -111,7 +116,7 @@
 	if !ok || c.epoch == 0 || now.Before(c.nextRenewal) {
 		return
 	}
-	needsList := !c.listComplete || c.runnerGone || slices.ContainsFunc(slices.Collect(maps.Values(c.tasks)), func(t *task) bool { return t.uncertain })
+	needsList := !c.listComplete || c.runnerGone || c.departing || slices.ContainsFunc(slices.Collect(maps.Values(c.tasks)), func(t *task) bool { return t.uncertain })
 	urgent := needsList && c.listRequest == 0
 	if c.renewing && !urgent {
 		return
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -147,9 +147,11 @@
 		successor *Heartbeat
 
 		// listComplete says that tasks is complete, and runnerGone that nothing runs at
-		// the runner any more.
+		// the runner any more. departing says that the runner has announced its end
+		// since its last heartbeat.
 		listComplete bool
 		runnerGone   bool
+		departing    bool
 
 		// heldUntil is until when the leader's orders let tasks run, and
 		// requestedUntil the latest lease end that was requested of the runner.
@@ -212,8 +214,8 @@
 		Clock  Clock
 	}
 
-	// Gone is the event that a runner has shut down. ID.Incarnation is 0 if the
-	// incarnation is not known.
+	// Gone is the event that a runner has announced that it ends now. ID.Incarnation is 0
+	// if the incarnation is not known.
 	Gone struct {
 		ID control.RunnerID
 	}
@@ -353,7 +355,7 @@
 // resetRunner removes all state of the runner.
 func (c *Core) resetRunner() {
 	c.runner, c.successor = nil, nil
-	c.listComplete, c.runnerGone = false, false
+	c.listComplete, c.runnerGone, c.departing = false, false, false
 	c.heartbeatSeq, c.heldUntil, c.requestedUntil = 0, 0, 0
 	c.renewing, c.listRequest = false, 0
 	c.acked, c.ackForwarded = 0, 0
