Wait for the lease that a former agent process asked for

What callers would see: a task that must run once runs twice at the same time.

Cause: an agent gives up the tasks of a silent runner when the lease has expired that it asked for itself. A process that was started anew has asked for none until the leader's orders name the runner. If the runner falls silent right after its first list, the agent gave its tasks up after 1.55 s, though the process before may have asked for a lease of the whole hold time.

Evidence: TestLeaseOfFormerAgent failed before the fix: "task given up 1.55s after the list"; the hold time is 6 s.

Fix: with the first list of a runner, the latest lease end that may have been asked for is the hold time after the clock in that list. No process may ask for a later one.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -57,6 +57,8 @@
 	c.resetRunner()
 	c.runner, c.heartbeatSeq = &next.Runner, next.Seq
 	c.runnerClock, c.runnerClockAt = clock, now
+	// A former process of the agent may have asked for the longest lease just before.
+	c.requestedUntil = clock + Clock(c.config.HoldTime/time.Millisecond)
 }
 
 // requestNewList says that the tasks are not known until a list has arrived that is
