End no task because a runner's list lacks rows

What callers would see: a task that must run once runs twice, at the same time or after it was done.

Cause: a task that a list does not contain has ended. Rows that could not be read were left out of the list without a word, and a runner returns at most 500 results at a time, so a run whose result comes later was in neither part of the list.

Fix: such a list is partial. It adds what it contains and ends only what its results end; a first list that is partial is not reported as complete, but its results are, since the rest follows when they are acknowledged.

Not seen in any log: no runner has sent such a row or 500 results.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -91,7 +91,7 @@
 		c.log("runner started again", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number)
 		c.reportDue = true
 	}
-	c.successor = nil
+	c.successor, c.restarted = nil, true
 	c.requestNewList()
 }
 
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -42,10 +42,10 @@
 	c.lastAnswer = now
 	c.ackForwarded = max(c.ackForwarded, e.Call.Acked)
 	if c.runnerGone || !c.listComplete {
-		c.runnerGone, c.listComplete, c.reportDue = false, true, true
+		c.runnerGone, c.listComplete, c.reportDue = false, !e.Partial, true
 	}
 	c.listRequest = e.Call.Number
-	if c.departing {
+	if c.departing || e.Partial {
 		c.nextRenewal = now.Add(renewalRetry)
 	}
 	for _, end := range e.Results {
@@ -66,6 +66,10 @@
 		present[key] = true
 		c.applyListed(now, key, listed, e.Call)
 	}
+	if e.Partial {
+		c.log("list is partial", "list", e.Call.Number, "tasks", len(e.Tasks), "results", len(e.Results), "missing", len(c.tasks)-len(present))
+		return
+	}
 	for _, key := range c.sortedRuns() {
 		if !present[key] {
 			c.applyMissing(key, e)
@@ -132,7 +136,7 @@
 	if now.Sub(c.lastAnswer) > c.config.AnswerTimeout {
 		until = 0
 	}
-	if !c.listComplete {
+	if c.successor != nil || c.restarted {
 		// They are for the former incarnation, whose clock and results had other numbers.
 		until, acked = 0, 0
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -148,10 +148,12 @@
 
 		// listComplete says that tasks is complete, and runnerGone that nothing runs at
 		// the runner any more. departing says that the runner has announced its end
-		// since its last heartbeat.
+		// since its last heartbeat, restarted that it was started again under its
+		// name.
 		listComplete bool
 		runnerGone   bool
 		departing    bool
+		restarted    bool
 
 		// heldUntil is until when the leader's orders let tasks run, and
 		// requestedUntil the latest lease end that was requested of the runner.
@@ -264,13 +266,14 @@
 	}
 
 	// RenewLeaseResult is the event that answers a RenewLease. Clock is the time
-	// on the runner's clock.
+	// on the runner's clock. Partial says that tasks or results may be missing.
 	RenewLeaseResult struct {
 		Call    RenewLease
 		Answer  Answer
 		Clock   Clock
 		Tasks   []control.Task
 		Results []control.Result
+		Partial bool
 	}
 
 	// Send is the effect that sends a report to a gate.
@@ -355,7 +358,7 @@
 // resetRunner removes all state of the runner.
 func (c *Core) resetRunner() {
 	c.runner, c.successor = nil, nil
-	c.listComplete, c.runnerGone, c.departing = false, false, false
+	c.listComplete, c.runnerGone, c.departing, c.restarted = false, false, false, false
 	c.heartbeatSeq, c.heldUntil, c.requestedUntil = 0, 0, 0
 	c.renewing, c.listRequest = false, 0
 	c.acked, c.ackForwarded = 0, 0
