Acknowledge a result to the runner only until it has answered

What callers would see: a task that was done starts again.

Cause: each renewal carried the number of the last acknowledged result again. A runner that starts again under its id numbers its results from 1; a renewal that was meant for its former incarnation made it forget results that nobody had read, and count them as known. The agent then found the task neither running nor ended.

Evidence: TestAcknowledgeOnce failed before the fix ("acknowledged 57 once more").

Fix: a renewal acknowledges what the runner has not confirmed yet, and 0 after that, which forgets nothing. An acknowledgement without an answer is repeated as before.

It was to start runners again under their ids, but on this site all came with new ids, so the case itself is shown by the test only.

Limit: an acknowledgement on its way while the runner starts again can still reach results of its next incarnation, if that has ended a run by then.

--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -133,6 +133,9 @@
 		wait = 0
 	}
 	until, acked := c.heldUntil, c.acked
+	if acked <= c.ackForwarded {
+		acked = 0
+	}
 	if now.Sub(c.lastAnswer) > c.config.AnswerTimeout {
 		until = 0
 	}
