Never lower the fencing token within an epoch

What callers would see: a task that must run once runs twice at the same time, after several late messages.

Cause: the agent took the fence of any answer of the present leader. One that was sent before the leader counted another incarnation of the agent lowered the token below that of starts on their way. The next incarnation of the runner, which has seen no token, would accept such a start after its list had shown that it does not run; the present one rejects all renewals until the next orders.

Evidence: TestTokenNeverFalls failed before the fix (list with token after a start with).

Fix: the fence is the highest of the epoch.

--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -175,3 +175,18 @@
 	}
 	t.Error("the tasks were not given up")
 }
+
+// TestTokenNeverFalls delays an answer of the leader from before it counted another
+// incarnation of the agent. The fencing token must not fall back with it, or the next
+// incarnation of the runner would accept a late start after its list.
+func TestTokenNeverFalls(t *testing.T) {
+	h := newHarness(t)
+	report := h.ready()
+	h.sendOrders(report, func(o *control.Orders) { o.Fence, o.Starts = 4, []control.Start{start(1)} })
+	call := must[runner.StartTask](h)
+	h.sendOrders(report, func(o *control.Orders) { o.Fence, o.Seq = 2, 1 })
+	h.heartbeatOf(reborn)
+	if list := must[runner.RenewLease](h); list.Token <= call.Token {
+		t.Errorf("list requested with token %d after a start with token %d", list.Token, call.Token)
+	}
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -61,10 +61,10 @@
 	}
 	if e.Orders.Epoch > c.epoch {
 		c.log("leader found", "epoch", e.Orders.Epoch, "leader", e.Call.To, "before", c.epoch)
-		c.epoch, c.applied, c.unansweredStarts = e.Orders.Epoch, 0, 0
+		c.epoch, c.fence, c.applied, c.unansweredStarts = e.Orders.Epoch, 0, 0, 0
 		c.reportDue = true
 	}
-	c.fence = e.Orders.Fence
+	c.fence = max(c.fence, e.Orders.Fence)
 	if e.Orders.ReportWait > 0 {
 		c.reportWait = min(e.Orders.ReportWait, c.config.HoldTime/reportsPerHold)
 	}
