--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -61,10 +61,10 @@
 	}
 	if e.Orders.Epoch > c.epoch {
 		c.log("leader found", "epoch", e.Orders.Epoch, "leader", e.Call.To, "before", c.epoch)
-		c.epoch, c.applied, c.unansweredStarts = e.Orders.Epoch, 0, 0
+		c.epoch, c.fence, c.applied, c.unansweredStarts = e.Orders.Epoch, 0, 0, 0
 		c.reportDue = true
 	}
-	c.fence = e.Orders.Fence
+	c.fence = max(c.fence, e.Orders.Fence)
 	if e.Orders.ReportWait > 0 {
 		c.reportWait = min(e.Orders.ReportWait, c.config.HoldTime/reportsPerHold)
 	}
@@ -75,6 +75,10 @@
 	if c.runner == nil || e.Orders.Runner != c.runner.ID || c.runnerGone {
 		return
 	}
+	if e.Call.Report.Runner == nil {
+		// The leader does not extend its hold for a report without a runner.
+		return
+	}
 	if c.listComplete {
 		// Orders whose starts are not carried out must not be reported as
 		// applied: the leader would conclude that those runs have ended.
@@ -137,6 +141,9 @@
 func (c *Core) applyStop(stop control.Stop) {
 	key := runKey{stop.Task, stop.Run}
 	if t := c.tasks[key]; t != nil {
+		if !t.stopWanted {
+			c.log("stop ordered", "task", key.task.String(), "run", key.run, "running", t.phase == control.Running, "orders", c.applied)
+		}
 		t.stopWanted = true
 		return
 	}
@@ -189,6 +196,8 @@
 	t.token = c.nextToken()
 	until := min(c.heldUntil, c.runnerNow(now)+Clock(startValidity/time.Millisecond))
 	c.requestedUntil = max(c.requestedUntil, until)
+	c.log("start sent", "task", t.start.Task.String(), "run", t.start.Run, "token", t.token, "until", until,
+		"clock", c.runnerNow(now), "held", c.heldUntil, "orders", c.applied)
 	c.effects = append(c.effects, StartTask{Runner: c.runner.ID, Start: t.start, Token: t.token, Until: until})
 }
 
@@ -204,8 +213,9 @@
 	case Accepted:
 		t.phase, t.confirmedAt = control.Running, now
 		c.reportDue = true
+		c.log("task confirmed", "task", key.task.String(), "run", key.run, "token", t.token, "list", 0)
 	case Fenced:
-		if t.token < c.nextToken() && !t.stopWanted {
+		if t.token < c.nextToken() && !t.stopWanted && c.listComplete {
 			c.sendStart(now, t)
 			return
 		}
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -10,7 +10,7 @@
 
 // onRenewLeaseResult handles the runner's answer to a lease renewal.
 func (c *Core) onRenewLeaseResult(now time.Time, e RenewLeaseResult) {
-	if c.runner == nil || c.runner.ID != e.Call.Runner {
+	if callee, ok := c.callee(); !ok || callee != e.Call.Runner {
 		return
 	}
 	if e.Call.Number == c.renewals {
@@ -22,9 +22,11 @@
 			c.applyList(now, e)
 		}
 	case OtherIncarnation:
-		c.lastAnswer = now
-		c.log("runner is another", "runner", c.runner.ID.Name)
-		c.dropTasks()
+		c.onOtherIncarnation(now, e.Call)
+	case OtherRunner:
+		c.onOtherRunner(now, e.Call)
+	case Unreachable:
+		c.onUnreachable(now, e.Call)
 	default:
 		c.nextRenewal = now.Add(renewalRetry)
 	}
@@ -33,12 +35,19 @@
 // applyList updates the agent's view of the runner to the runner's list of its
 // tasks and results.
 func (c *Core) applyList(now time.Time, e RenewLeaseResult) {
-	c.runnerClock, c.runnerClockAt, c.lastAnswer = e.Clock, now, now
+	if c.successor != nil {
+		c.completeSuccession(now, e.Clock)
+	}
+	c.readClock(now, e.Clock)
+	c.lastAnswer = now
 	c.ackForwarded = max(c.ackForwarded, e.Call.Acked)
 	if c.runnerGone || !c.listComplete {
-		c.runnerGone, c.listComplete, c.reportDue = false, true, true
+		c.runnerGone, c.listComplete, c.reportDue = false, !e.Partial, true
 	}
 	c.listRequest = e.Call.Number
+	if c.departing || e.Partial {
+		c.nextRenewal = now.Add(renewalRetry)
+	}
 	for _, end := range e.Results {
 		if end.ID <= c.acked {
 			continue
@@ -46,6 +55,8 @@
 		if _, known := c.results[end.ID]; !known {
 			c.results[end.ID] = end
 			c.reportDue = true
+			c.log("result listed", "task", end.Task.String(), "run", end.Run, "result", end.ID,
+				"outcome", end.Outcome, "list", e.Call.Number)
 		}
 		delete(c.tasks, runKey{end.Task, end.Run})
 	}
@@ -53,7 +64,11 @@
 	for _, listed := range e.Tasks {
 		key := runKey{listed.ID, listed.Run}
 		present[key] = true
-		c.applyListed(now, key, listed)
+		c.applyListed(now, key, listed, e.Call)
+	}
+	if e.Partial {
+		c.log("list is partial", "list", e.Call.Number, "tasks", len(e.Tasks), "results", len(e.Results), "missing", len(c.tasks)-len(present))
+		return
 	}
 	for _, key := range c.sortedRuns() {
 		if !present[key] {
@@ -63,14 +78,16 @@
 }
 
 // applyListed records a task that is in the runner's list.
-func (c *Core) applyListed(now time.Time, key runKey, listed control.Task) {
+func (c *Core) applyListed(now time.Time, key runKey, listed control.Task, call RenewLease) {
 	t := c.tasks[key]
 	if t == nil {
-		t = &task{start: control.Start{Task: listed.ID, Run: listed.Run}, confirmedAt: now}
+		t = &task{start: control.Start{Task: listed.ID, Run: listed.Run}, phase: control.Running, confirmedAt: now}
 		c.tasks[key] = t
 		c.reportDue = true
+		c.log("task found", "task", key.task.String(), "run", key.run, "token", call.Token, "list", call.Number)
 	}
 	if t.phase != control.Running || t.uncertain {
+		c.log("task confirmed", "task", key.task.String(), "run", key.run, "token", t.token, "list", call.Number)
 		t.phase, t.confirmedAt, t.uncertain = control.Running, now, false
 		c.reportDue = true
 	}
@@ -90,6 +107,8 @@
 	case t.phase == control.Running && !t.uncertain && e.Call.Sent.After(t.confirmedAt):
 		delete(c.tasks, key)
 		c.reportDue = true
+		c.log("task missing", "task", key.task.String(), "run", key.run, "token", e.Call.Token,
+			"list", e.Call.Number, "age", e.Call.Sent.Sub(t.confirmedAt))
 	}
 }
 
@@ -97,10 +116,11 @@
 // need or a renewal is in flight. After a start without an answer it does not wait
 // for the one in flight.
 func (c *Core) renewLease(now time.Time) {
-	if c.runner == nil || c.epoch == 0 || now.Before(c.nextRenewal) {
+	callee, ok := c.callee()
+	if !ok || c.epoch == 0 || now.Before(c.nextRenewal) {
 		return
 	}
-	needsList := !c.listComplete || c.runnerGone || slices.ContainsFunc(slices.Collect(maps.Values(c.tasks)), func(t *task) bool { return t.uncertain })
+	needsList := !c.listComplete || c.runnerGone || c.departing || slices.ContainsFunc(slices.Collect(maps.Values(c.tasks)), func(t *task) bool { return t.uncertain })
 	urgent := needsList && c.listRequest == 0
 	if c.renewing && !urgent {
 		return
@@ -112,15 +132,22 @@
 	if needsList || len(c.tasks) == 0 {
 		wait = 0
 	}
-	until := c.heldUntil
+	until, acked := c.heldUntil, c.acked
+	if acked <= c.ackForwarded {
+		acked = 0
+	}
 	if now.Sub(c.lastAnswer) > c.config.AnswerTimeout {
 		until = 0
 	}
+	if c.successor != nil || c.restarted {
+		// They are for the former incarnation, whose clock and results had other numbers.
+		until, acked = 0, 0
+	}
 	c.requestedUntil = max(c.requestedUntil, until)
 	c.renewals++
 	c.renewing, c.listRequest = true, c.renewals
 	c.effects = append(c.effects, RenewLease{
-		Runner: c.runner.ID, Number: c.renewals, Sent: now, Token: c.nextToken(), Until: until, Acked: c.acked, Wait: wait,
+		Runner: callee, Number: c.renewals, Sent: now, Token: c.nextToken(), Until: until, Acked: acked, Wait: wait,
 	})
 }
 
@@ -135,7 +162,7 @@
 // has expired by its own clock. If the runner has no tasks, its heartbeats must be
 // missing, too.
 func (c *Core) expireLease(now time.Time) {
-	if c.runner == nil || c.runnerGone || !c.listComplete || now.Sub(c.lastAnswer) <= c.config.AnswerTimeout {
+	if c.runner == nil || c.runnerGone || now.Sub(c.lastAnswer) <= c.config.AnswerTimeout {
 		return
 	}
 	if len(c.tasks) == 0 && now.Sub(c.lastHeartbeat) <= c.config.HeartbeatTimeout {
@@ -145,7 +172,7 @@
 	// The lease lasts longer if the runner's clock runs slow: 4 % are allowed for
 	// that.
 	if now.Sub(c.runnerClockAt) > remaining+remaining/25+c.config.MaxOrdersAge {
-		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.lastAnswer))
+		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.lastAnswer), "until", c.requestedUntil, "clock", c.runnerClock)
 		c.dropTasks()
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,10 +28,15 @@
 	// fencing token.
 	Fenced
 
-	// OtherIncarnation says that another runner, or another incarnation of the same one,
-	// listens at the address.
+	// OtherIncarnation says that the runner has been started again under the same name.
+	// Calls name only that, so it may have carried out any call to its former
+	// incarnation.
 	OtherIncarnation
 
+	// OtherRunner says that another runner listens at the address. It does nothing for
+	// the call.
+	OtherRunner
+
 	// NoAnswer says that there was no answer: the call may have been carried
 	// out, or may be later.
 	NoAnswer
@@ -127,7 +132,7 @@
 		reportDue  bool
 		nextReport time.Time
 
-		// runner is nil until its first heartbeat. Its clock showed runnerClock at
+		// runner is nil until a runner has listed its tasks. Its clock showed runnerClock at
 		// runnerClockAt. lastAnswer is when it last answered; a renewal that it
 		// refused or fenced does not count.
 		runner       *control.Runner
@@ -137,10 +142,18 @@
 		lastAnswer,
 		lastHeartbeat time.Time
 
+		// successor is the last heartbeat of an incarnation that has not listed its
+		// tasks yet, or nil.
+		successor *Heartbeat
+
 		// listComplete says that tasks is complete, and runnerGone that nothing runs at
-		// the runner any more.
+		// the runner any more. departing says that the runner has announced its end
+		// since its last heartbeat, restarted that it was started again under its
+		// name.
 		listComplete bool
 		runnerGone   bool
+		departing    bool
+		restarted    bool
 
 		// heldUntil is until when the leader's orders let tasks run, and
 		// requestedUntil the latest lease end that was requested of the runner.
@@ -203,8 +216,8 @@
 		Clock  Clock
 	}
 
-	// Gone is the event that a runner has shut down. ID.Incarnation is 0 if the
-	// incarnation is not known.
+	// Gone is the event that a runner has announced that it ends now. ID.Incarnation is 0
+	// if the incarnation is not known.
 	Gone struct {
 		ID control.RunnerID
 	}
@@ -253,13 +266,14 @@
 	}
 
 	// RenewLeaseResult is the event that answers a RenewLease. Clock is the time
-	// on the runner's clock.
+	// on the runner's clock. Partial says that tasks or results may be missing.
 	RenewLeaseResult struct {
 		Call    RenewLease
 		Answer  Answer
 		Clock   Clock
 		Tasks   []control.Task
 		Results []control.Result
+		Partial bool
 	}
 
 	// Send is the effect that sends a report to a gate.
@@ -343,8 +357,8 @@
 
 // resetRunner removes all state of the runner.
 func (c *Core) resetRunner() {
-	c.runner = nil
-	c.listComplete, c.runnerGone = false, false
+	c.runner, c.successor = nil, nil
+	c.listComplete, c.runnerGone, c.departing, c.restarted = false, false, false, false
 	c.heartbeatSeq, c.heldUntil, c.requestedUntil = 0, 0, 0
 	c.renewing, c.listRequest = false, 0
 	c.acked, c.ackForwarded = 0, 0
@@ -353,55 +367,11 @@
 	c.refusals = make(map[runKey]string)
 }
 
-// onHeartbeat records a heartbeat of the runner. Late ones and those of a former
-// incarnation are ignored.
-func (c *Core) onHeartbeat(now time.Time, e Heartbeat) {
-	if c.runner != nil && c.runner.ID == e.Runner.ID && e.Seq <= c.heartbeatSeq {
-		return
-	}
-	if c.runner != nil && e.Runner.ID.Incarnation < c.runner.ID.Incarnation {
-		return
-	}
-	if c.runner == nil || c.runner.ID != e.Runner.ID {
-		c.resetRunner()
-		c.runnerClock, c.runnerClockAt, c.lastAnswer = e.Clock, now, now
-		c.reportDue = true
-		c.log("runner found", "runner", e.Runner.ID.Name, "born", e.Runner.ID.Incarnation, "draining", e.Runner.Draining)
-	} else if c.runner.Draining != e.Runner.Draining {
-		c.reportDue = true
-		c.log("runner drains", "runner", e.Runner.ID.Name, "remaining", e.Runner.Remaining)
-	}
-	runner := e.Runner
-	c.runner = &runner
-	c.heartbeatSeq, c.lastHeartbeat = e.Seq, now
-}
-
-// onGone records that the runner has shut down and runs nothing any more.
-func (c *Core) onGone(e Gone) {
-	if c.runner == nil || c.runner.ID.Name != e.ID.Name || e.ID.Incarnation != 0 && e.ID.Incarnation != c.runner.ID.Incarnation {
-		return
-	}
-	c.log("runner left", "runner", e.ID.Name, "tasks", len(c.tasks))
-	c.dropTasks()
-}
-
-// dropTasks records that nothing runs at the runner any more.
-func (c *Core) dropTasks() {
-	c.tasks = make(map[runKey]*task)
-	c.listComplete, c.runnerGone, c.reportDue = true, true, true
-}
-
 // nextToken returns the fencing token of the next call.
 func (c *Core) nextToken() Token {
 	return Token(c.epoch)<<32 | Token(c.fence)<<16 | Token(c.unansweredStarts)
 }
 
-// runnerNow estimates what the runner's clock shows: its last reading plus the time
-// since that arrived. The clock shows at least that, unless it runs slow.
-func (c *Core) runnerNow(now time.Time) Clock {
-	return c.runnerClock + Clock(now.Sub(c.runnerClockAt)/time.Millisecond)
-}
-
 // sortedRuns returns the agent's runs in a fixed order.
 func (c *Core) sortedRuns() []runKey {
 	keys := slices.Collect(maps.Keys(c.tasks))
