--- a/internal/gate/chaos_test.go
+++ b/internal/gate/chaos_test.go
@@ -44,17 +44,29 @@
 
 // TestToldEnds guards against a table that keeps another outcome of a job than
 // the one that its caller was sent during an outage of the store. Its seeds
-// showed that fault.
+// showed that fault, seed 747406040 a start without a durable record.
 func TestToldEnds(t *testing.T) {
-	testSeedsUnderFaults(t, 66, 123, 205, 221, 283, 322, 5104, 5183, 5210, 5655, 5921, 747406006)
+	testSeedsUnderFaults(t, 66, 123, 205, 221, 283, 322, 5104, 5183, 5210, 5655, 5705, 5921,
+		747406006, 747406028, 747406040, 747406078)
 }
 
 // TestToldEndsLost fails, as KNOWN-RED.txt lists. Its seeds still show the
 // fault of TestToldEnds: the gate that buffers the outcome and the leader that
-// knows it are cut off or lost. Seed 747406040 shows a start without a durable
-// record instead.
+// knows it are cut off or lost.
 func TestToldEndsLost(t *testing.T) {
-	testSeedsUnderFaults(t, 5146, 5705, 747406028, 747406040, 747406078)
+	testSeedsUnderFaults(t, 5146, 90068, 90350, 90380, 90793, 91575, 92681, 93104, 93422)
+}
+
+// TestUntrueRefusals fails, as KNOWN-RED.txt lists. A caller is answered that its
+// job did not run, and the job has started or starts later.
+func TestUntrueRefusals(t *testing.T) {
+	testSeedsUnderFaults(t, 90735, 90815, 91140, 92655, 93305, 93379)
+}
+
+// TestWaitsBesideIdleWorkers fails, as KNOWN-RED.txt lists. An accepted job is never
+// placed although all workers are idle.
+func TestWaitsBesideIdleWorkers(t *testing.T) {
+	testSeedsUnderFaults(t, 93301)
 }
 
 // testSeedsUnderFaults runs testUnderFaults with outages of the store for each
