Log the versions by which a start before the takeover is explained

Traces of tasks that ran twice could not tell why a new leader started a job before all agents had listed: whether its row is newer than the epoch, and when the former leader was told to resign. "leading" has the version of the epoch's row now, "job admitted" that of the job's, and "gate resigns" is a line of its own. No change of behaviour; the tests of internal/region and internal/serve pass.

--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -157,7 +157,7 @@
 	c.jobs[s.Job.ID] = j
 	c.liveJobs = append(c.liveJobs, j)
 	c.replan = true
-	c.log(LogEntry{Event: "job admitted", Job: s.Job.ID, Detail: describe(s.Job), Count: len(s.Job.Steps)})
+	c.log(LogEntry{Event: "job admitted", Job: s.Job.ID, Detail: describe(s.Job), Count: len(s.Job.Steps), Version: acceptedVersion})
 	if c.earlyCancels[s.Job.ID] {
 		delete(c.earlyCancels, s.Job.ID)
 		j.hasCancelRow = true
--- a/internal/region/log.go
+++ b/internal/region/log.go
@@ -6,6 +6,7 @@
 	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/work"
 	"github.com/lovageroad/lovageroad/pkg/lease"
+	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
 // LogEntry describes one decision or state change for the log. KeyValues leaves out
@@ -25,6 +26,9 @@
 	Age     time.Duration
 	Count   int
 
+	// Version is the version of the job's row.
+	Version table.Version
+
 	// ReportEpoch, ReportSeq and Incarnation are the report's that led to the entry.
 	ReportEpoch lease.Epoch
 	ReportSeq   uint64
@@ -51,6 +55,7 @@
 	add(l.Detail != "", "detail", l.Detail)
 	add(l.Age != 0, "age", l.Age.Round(time.Millisecond))
 	add(l.Count != 0, "count", l.Count)
+	add(l.Version != 0, "version", l.Version)
 	add(l.ReportSeq != 0, "reportEpoch", l.ReportEpoch)
 	add(l.ReportSeq != 0, "reportSeq", l.ReportSeq)
 	add(l.Incarnation != 0, "incarnation", l.Incarnation)
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -194,7 +194,10 @@
 // Resign makes the gate resign from the lease, after which Run returns. It may
 // be called more than once.
 func (g *Gate) Resign() {
-	g.resignOnce.Do(func() { close(g.resigning) })
+	g.resignOnce.Do(func() {
+		klog.InfoS("gate resigns", "leads", g.localLeader() != nil)
+		close(g.resigning)
+	})
 }
 
 // AddGates adds gates that are named in the settings. They are known until the
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -136,7 +136,7 @@
 		l.core = core
 		l.mu.Unlock()
 		close(l.loaded)
-		klog.InfoS("leading", "epoch", l.epoch, "jobs", len(rowSets[0]), "agents", len(rowSets[3]), "took", boottime.Now().Sub(startedAt))
+		klog.InfoS("leading", "epoch", l.epoch, "version", l.epochCheck.Version, "jobs", len(rowSets[0]), "agents", len(rowSets[3]), "took", boottime.Now().Sub(startedAt))
 		return l.epochCheck.Version, true
 	}
 	return 0, false
