--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -147,7 +147,7 @@
 		Wait time.Duration `cbor:"11,keyasint,omitempty"`
 
 		// RunnerGone says that none of the runner's tasks can still run: it has shut
-		// down, another runner or incarnation answers at its address, or it did not
+		// down, another runner answers at its address, or it did not
 		// answer until its lease had expired.
 		RunnerGone bool `cbor:"12,keyasint,omitempty"`
 	}
