Find a runner that was started again with an earlier start time

What callers would see: tasks of a runner that crashed are never started again, and the worker is of no use any more.

Cause: a heartbeat with an earlier start time than the known one counts as late. Start times are wall-clock times, so a runner that starts again after its clock was set back has an earlier one. Since an answer of another incarnation does not give up the tasks; the agent waits for that incarnation's heartbeat, and each answer counts as contact, so that the lease of the former one does not expire either.

Evidence: TestRestartAfterClockStep failed before the fix ("no runner.RenewLease among []": the heartbeat is ignored), and TestHeartbeatFromBeforeClockStep with "the lease is not renewed". Not seen in any log.

Fix: once the runner is known to have been started again, the heartbeat of any other incarnation counts. If it was late all the same, the list shows another incarnation, and the agent waits again (TestLateHeartbeatAfterRestart, which passed before, too). An answer of the known incarnation to the last renewal takes the restart back; without that its lease would not be renewed after a late heartbeat.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -7,7 +7,8 @@
 )
 
 // onHeartbeat records a heartbeat of the runner. Late ones and those of former
-// incarnations are ignored.
+// incarnations are ignored. A runner that is known to have been started again may have an
+// earlier start time than before, if its wall clock was set back.
 func (c *Core) onHeartbeat(now time.Time, e Heartbeat) {
 	switch id := e.Runner.ID; {
 	case c.successor != nil && c.successor.Runner.ID == id:
@@ -17,7 +18,7 @@
 	case c.successor != nil && id.Incarnation < c.successor.Runner.ID.Incarnation:
 	case c.runner != nil && c.runner.ID == id:
 		c.updateRunner(now, e)
-	case c.runner != nil && id.Incarnation < c.runner.ID.Incarnation:
+	case c.runner != nil && id.Incarnation < c.runner.ID.Incarnation && !c.restarted:
 	default:
 		c.beginSuccession(now, e)
 	}
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -40,6 +40,9 @@
 	}
 	c.readClock(now, e.Clock)
 	c.lastAnswer = now
+	if e.Call.Number == c.renewals {
+		c.restarted = false
+	}
 	c.ackForwarded = max(c.ackForwarded, e.Call.Acked)
 	if c.runnerGone || !c.listComplete {
 		c.runnerGone, c.listComplete, c.reportDue = false, !e.Partial, true
