--- a/internal/runner/clock.go
+++ b/internal/runner/clock.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// clockDrift is the share of the time, as a divisor, by which a runner's clock may be
-// slow.
-const clockDrift = 50
+// clockDriftDivisor says that a runner's clock may be slow by one part in this many.
+const clockDriftDivisor = 50
 
 // readClock records a reading of the runner's clock that has arrived. An answer that
 // was delayed may say less than what is known already.
@@ -20,7 +19,7 @@
 func (c *Core) runnerNow(at time.Time) Clock {
 	elapsed := at.Sub(c.runnerClockAt)
 	if elapsed > 0 {
-		elapsed -= elapsed / clockDrift
+		elapsed -= elapsed / clockDriftDivisor
 	}
 	return c.runnerClock + Clock(elapsed/time.Millisecond)
 }
