--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -61,7 +61,8 @@
 }
 
 // fence accepts a new leader, unless it has an older epoch or older settings or asks
-// another incarnation, and sends it the state of all tasks. Older leaders are rejected from then on.
+// another incarnation, and sends it the state of all tasks. Older leaders are rejected
+// from then on.
 func (a *Agent) fence(now time.Time, from machine.Node, m wire.Fence) {
 	forOther := m.Incarnation != 0 && m.Incarnation != a.config.Incarnation
 	if m.Epoch < a.epoch || m.Revision < a.revision || forOther {
--- a/internal/gate/leader.go
+++ b/internal/gate/leader.go
@@ -35,10 +35,9 @@
 	// the fenced agents with their workers, and replaced the incarnations that
 	// were superseded and are not fenced again. lastFence is the number of the
 	// last fence, answeredFences holds the last one that each worker's agent has
-	// answered. orphans are the tasks to be
-	// stopped that belong to no live attempt; unrecorded are the tasks of
-	// former leaders that may belong to an attempt of which the table has no
-	// record.
+	// answered. orphans are the tasks to be stopped that belong to no live attempt;
+	// unrecorded are the tasks of former leaders that may belong to an attempt of
+	// which the table has no record.
 	leader struct {
 		gate           *Gate
 		epoch          lease.Epoch
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -305,9 +305,9 @@
 
 // report applies an agent's report and returns orders for the agent: as soon as
 // there are any, and otherwise after report.Wait. A report that the core ignores, or
-// that is followed by a newer one, is answered at once. It
-// returns false if this gate does not lead, or has not loaded the region's state
-// within report.Wait, or if the agent obeys a later leader.
+// that is followed by a newer one, is answered at once. It returns false if this gate
+// does not lead, or has not loaded the region's state within report.Wait, or if the
+// agent obeys a later leader.
 //
 // received is when the gate received the report.
 func (l *leader) report(ctx context.Context, report control.Report, received time.Time) (control.Orders, bool) {
