--- a/internal/agent/restart_test.go
+++ b/internal/agent/restart_test.go
@@ -91,8 +91,7 @@
 	}
 }
 
-// TestFenceForFormerIncarnation checks that a fence that was meant for a former
-// incarnation is not answered with the tasks of this one, and does not raise its epoch.
+// TestFenceForFormerIncarnation guards against an agent that answers a fence meant for its predecessor.
 func TestFenceForFormerIncarnation(t *testing.T) {
 	h := newHarness(t)
 	h.effects = nil
@@ -106,9 +105,8 @@
 	}
 }
 
-// TestPaused checks that an agent that was paused does not carry out orders and
-// heartbeats from before that: its leader may have started the task elsewhere.
-func TestPaused(t *testing.T) {
+// TestStaleOrdersAfterPause guards against an agent that carries out orders from before a pause.
+func TestStaleOrdersAfterPause(t *testing.T) {
 	h := reserved(t)
 	h.now = h.now.Add(20 * second)
 	h.deliver(wire.Run{Order: order, Task: taskID})
--- a/internal/gate/chaos_test.go
+++ b/internal/gate/chaos_test.go
@@ -57,14 +57,12 @@
 	testSeedsUnderFaults(t, 5146, 90068, 90350, 90380, 90793, 91575, 92681, 93104, 93422)
 }
 
-// TestUntrueRefusals fails, as KNOWN-RED.txt lists. A caller is answered that its
-// job did not run, and the job has started or starts later.
+// TestUntrueRefusals fails, see KNOWN-RED.txt: a job runs although its caller was told that it did not.
 func TestUntrueRefusals(t *testing.T) {
 	testSeedsUnderFaults(t, 90735, 90815, 91140, 92655, 93305, 93379)
 }
 
-// TestWaitsBesideIdleWorkers fails, as KNOWN-RED.txt lists. An accepted job is never
-// placed although all workers are idle.
+// TestWaitsBesideIdleWorkers fails, see KNOWN-RED.txt: a job is never placed although workers are idle.
 func TestWaitsBesideIdleWorkers(t *testing.T) {
 	testSeedsUnderFaults(t, 93301)
 }
--- a/internal/gate/delayed_list_test.go
+++ b/internal/gate/delayed_list_test.go
@@ -9,10 +9,8 @@
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
-// TestDelayedList guards against a list of a former incarnation of an agent that arrives
-// after that of its successor: it took the successor's tasks for gone, started them
-// again, and shut the worker out.
-func TestDelayedList(t *testing.T) {
+// TestDelayedListOfFormerAgent guards against a predecessor's list that replaces its successor's.
+func TestDelayedListOfFormerAgent(t *testing.T) {
 	for seed := range uint64(20) {
 		r := lab.NewRegion(seed, 2, 2)
 		checker := lab.NewChecker(r)
--- a/internal/gate/paused_leader_test.go
+++ b/internal/gate/paused_leader_test.go
@@ -11,10 +11,8 @@
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
-// TestPausedLeader guards against a leader that takes the time for which it was paused
-// for an outage of the table: it started a job without a record, at an agent that had not
-// heard of its successor, and the successor started the job, too.
-func TestPausedLeader(t *testing.T) {
+// TestPauseTakenForOutage guards against starts without a record by a leader that was only paused.
+func TestPauseTakenForOutage(t *testing.T) {
 	for seed := range uint64(20) {
 		r, checker := readyRegion(t, seed, 2, 2)
 		deposed, successor := r.Leader(), r.Gates[0]
--- a/internal/gate/repeated_key_test.go
+++ b/internal/gate/repeated_key_test.go
@@ -10,9 +10,7 @@
 	"github.com/lovageroad/lovageroad/pkg/machine"
 )
 
-// TestEndedJobNotRepeated guards against a job that runs again after its end: a new
-// leader loses the store before it has read which jobs have ended, and is then sent the
-// key of one.
+// TestEndedJobNotRepeated guards against a job that runs again when its key is sent to a new leader.
 func TestEndedJobNotRepeated(t *testing.T) {
 	for seed := range uint64(20) {
 		r, checker := readyRegion(t, seed, 2, 3)
@@ -50,9 +48,7 @@
 	}
 }
 
-// TestResubmittedJobAdopted guards against a job that a new leader starts again since its
-// gate submits it before the agent that runs it has listed its tasks. The former leader
-// started it during an outage of the store, so that the table does not know it.
+// TestResubmittedJobAdopted guards against a second start of a job that runs without a record.
 func TestResubmittedJobAdopted(t *testing.T) {
 	for seed := range uint64(20) {
 		r, checker := readyRegion(t, seed, 3, 6)
@@ -75,9 +71,7 @@
 	}
 }
 
-// TestCancelAfterTakeover guards against a job that runs again, or ends as cancelled,
-// although it was done and its caller told so: a new leader is sent the job again and its
-// cancellation before it has heard from the agent that keeps the result.
+// TestCancelAfterTakeover guards against a done job that runs again or ends as cancelled.
 func TestCancelAfterTakeover(t *testing.T) {
 	for seed := range uint64(20) {
 		r, checker := readyRegion(t, seed, 2, 1)
--- a/internal/region/hold_test.go
+++ b/internal/region/hold_test.go
@@ -8,9 +8,7 @@
 	"github.com/lovageroad/lovageroad/internal/control"
 )
 
-// TestIdleAnswersHold has a leader of many agents delay its answers as long as it may,
-// since it has no new orders. The answers must still be young enough for the agents to
-// apply them, or else the tasks' leases expire.
+// TestIdleAnswersHold guards against idle answers that are too old to renew the lease of tasks.
 func TestIdleAnswersHold(t *testing.T) {
 	for _, agents := range []int{11, 180, 680} {
 		s := newSite(t, "a")
--- a/internal/region/result_test.go
+++ b/internal/region/result_test.go
@@ -7,10 +7,7 @@
 	"github.com/lovageroad/lovageroad/internal/control"
 )
 
-// TestResultAfterUnsavedEnd has a job fail by one of its tasks, while the table is away,
-// and then another task of it be done. This result must not be acknowledged before the
-// end is durable: the next leader knows nothing of the failures if their agent is lost
-// too, and would start the task that is done again.
+// TestResultAfterUnsavedEnd guards against a result that is acknowledged before its job's end is durable.
 func TestResultAfterUnsavedEnd(t *testing.T) {
 	h := newHarness(t)
 	h.join("a")
--- a/internal/region/retention_test.go
+++ b/internal/region/retention_test.go
@@ -102,9 +102,7 @@
 	}
 }
 
-// TestRowReadBeforeRemoval has the leader read the rows of all jobs again, while it
-// removes those of an ended job, so that it gets the job's row after the removal. The
-// job must not run again. A new job under the same ID must.
+// TestRowReadBeforeRemoval guards against a job that runs again from a row read before its removal.
 func TestRowReadBeforeRemoval(t *testing.T) {
 	h := newHarness(t)
 	h.join("a")
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -203,9 +203,7 @@
 	}
 }
 
-// TestDrainBeforeList has an agent's process be replaced at a takeover. The new process
-// reports that the runner drains before it has the runner's list. Another leader must
-// still wait for this agent, whose runner may run a task.
+// TestDrainBeforeList guards against a leader that does not wait for a draining agent without a list.
 func TestDrainBeforeList(t *testing.T) {
 	h := newHarness(t)
 	h.join("a")
@@ -339,9 +337,7 @@
 	t.Error("the task is still placed on an agent that does not know its runner")
 }
 
-// TestStartAtGoneRunner has a runner leave for good while the order to start a task there
-// is on its way, and its agent stay. The task must be started elsewhere, but not before
-// the order is too old for the agent, since a runner that was only silent may come back.
+// TestStartAtGoneRunner guards against a task that waits for ever for a runner that has left.
 func TestStartAtGoneRunner(t *testing.T) {
 	h := newHarness(t)
 	h.join("a")
@@ -368,9 +364,7 @@
 	t.Error("not started elsewhere")
 }
 
-// TestTakeoverAfterStartAtGoneRunner has the leader be lost while the order to start a
-// task is on its way to an agent whose runner seems gone. The runner may come back before
-// the order is too old, so that the next leader must wait for this agent.
+// TestTakeoverAfterStartAtGoneRunner guards against a second start while the first is on its way.
 func TestTakeoverAfterStartAtGoneRunner(t *testing.T) {
 	h := newHarness(t)
 	h.join("a")
--- a/internal/region/two_leaders_test.go
+++ b/internal/region/two_leaders_test.go
@@ -180,9 +180,7 @@
 	return n
 }
 
-// TestListFromBeforeTakeover has a gate hold a report until it leads. Meanwhile the
-// agent accepts a start of the former leader. The list in that report must not make
-// the new leader start the task elsewhere.
+// TestListFromBeforeTakeover guards against a list that lacks a start of the former leader.
 func TestListFromBeforeTakeover(t *testing.T) {
 	s := newSite(t, "a", "b")
 	former := s.core
@@ -223,9 +221,7 @@
 	}
 }
 
-// TestReportOfFormerProcess has an agent's process be replaced while a report of it is
-// delayed. The list in this report must not replace that of the new process, which runs
-// a task that the list lacks.
+// TestReportOfFormerProcess guards against a killed agent's report that replaces its successor's list.
 func TestReportOfFormerProcess(t *testing.T) {
 	s := newSite(t, "a", "b")
 	s.submit(gpuJob("j0", 1, 8))
@@ -253,9 +249,7 @@
 	}
 }
 
-// TestHoldBeforeList has an agent's process be replaced at a takeover, and its reports be
-// cut before the new leader has its list. The leader's first answers must not let the
-// runner's tasks run for longer than the leader waits before it starts them elsewhere.
+// TestHoldBeforeList guards against answers that hold tasks which the new leader does not know.
 func TestHoldBeforeList(t *testing.T) {
 	s := newSite(t, "a", "b")
 	s.submit(gpuJob("j0", 1, 8))
@@ -287,9 +281,7 @@
 	}
 }
 
-// TestRunnerFoundBeforeAnswer has an agent's new process report without its runner, and
-// find the runner before the answer arrives. The answer must not let tasks run for longer
-// than the leader, which does not count on this agent, waits for them.
+// TestRunnerFoundBeforeAnswer guards against an answer that holds tasks of an agent without its runner.
 func TestRunnerFoundBeforeAnswer(t *testing.T) {
 	s := newSite(t, "a", "b")
 	s.submit(gpuJob("j0", 1, 8))
--- a/internal/region/wall_clock_test.go
+++ b/internal/region/wall_clock_test.go
@@ -140,10 +140,7 @@
 	}
 }
 
-// TestOccurrenceOfFasterClock has a leader with a fast clock start an occurrence, and a
-// new leader find it running or done before it is due by its own clock. The new leader
-// must neither stop the task nor start it again, and must not start other tasks of the
-// occurrence before they are due.
+// TestOccurrenceOfFasterClock guards against an occurrence that is stopped or repeated by a slower clock.
 func TestOccurrenceOfFasterClock(t *testing.T) {
 	for _, ended := range []bool{false, true} {
 		h := newHarness(t)
--- a/internal/runner/acknowledge_test.go
+++ b/internal/runner/acknowledge_test.go
@@ -8,9 +8,7 @@
 	"github.com/lovageroad/lovageroad/internal/runner"
 )
 
-// TestAcknowledgeOnce acknowledges a result to the runner until the runner has answered,
-// and no longer. A runner that starts again under its name numbers its results from
-// 1 anew, and would forget those that nobody has read.
+// TestAcknowledgeOnce guards against an acknowledgement that reaches results of the next incarnation.
 func TestAcknowledgeOnce(t *testing.T) {
 	h := newHarness(t)
 	call := h.startFirst()
--- a/internal/runner/clock_step_test.go
+++ b/internal/runner/clock_step_test.go
@@ -8,9 +8,7 @@
 	"github.com/lovageroad/lovageroad/internal/runner"
 )
 
-// TestRestartAfterClockStep has a runner start again under its name after the wall clock was
-// set back, so that its start time is lower than before. The agent must find it when it
-// has answered, so that its tasks are not waited for without end.
+// TestRestartAfterClockStep guards against tasks that wait for ever for a runner with an earlier start time.
 func TestRestartAfterClockStep(t *testing.T) {
 	h := newHarness(t)
 	h.heartbeatOf(reborn)
@@ -30,8 +28,7 @@
 	}
 }
 
-// TestLateHeartbeatAfterRestart delays a heartbeat of a former incarnation until the runner has
-// answered as another one. Its list shows that the heartbeat was late.
+// TestLateHeartbeatAfterRestart guards against a late heartbeat that hides the present incarnation.
 func TestLateHeartbeatAfterRestart(t *testing.T) {
 	newest := control.RunnerID{Name: self.Name, Incarnation: reborn.Incarnation + 1}
 	h := newHarness(t)
@@ -55,9 +52,7 @@
 	}
 }
 
-// TestHeartbeatFromBeforeClockStep delays a heartbeat from before the wall clock was set back
-// until the next incarnation has listed its tasks. That incarnation's lease must be renewed
-// again once it has answered.
+// TestHeartbeatFromBeforeClockStep guards against a lease that is no longer renewed after a late heartbeat.
 func TestHeartbeatFromBeforeClockStep(t *testing.T) {
 	h := newHarness(t)
 	h.startFirst()
--- a/internal/runner/clock_test.go
+++ b/internal/runner/clock_test.go
@@ -42,9 +42,7 @@
 	s.lease = max(call.Until, renewal.Until, must[runner.RenewLease](s.harness).Until)
 }
 
-// TestLeaseAfterIdleTime lets a runner whose clock is slow idle and then starts a task.
-// Its lease must end within the hold time of the orders, since the leader gives the task
-// up soon after, however long the runner was idle.
+// TestLeaseAfterIdleTime guards against a lease that outlasts the hold since the runner's clock is slow.
 func TestLeaseAfterIdleTime(t *testing.T) {
 	const hold = 6 * time.Second
 	for _, idle := range []time.Duration{0, 10 * time.Second, 80 * time.Second, 300 * time.Second, time.Hour} {
--- a/internal/runner/departure_test.go
+++ b/internal/runner/departure_test.go
@@ -19,9 +19,7 @@
 	return must[runner.RenewLease](h)
 }
 
-// TestLateDeparture delays the departure of a runner until the runner has started again
-// under its name. A departure names no incarnation, so the agent must not report the
-// tasks of the present one as gone while it lists them.
+// TestLateDeparture guards against a former incarnation's departure that gives up running tasks.
 func TestLateDeparture(t *testing.T) {
 	h := newHarness(t)
 	renewal := h.depart()
@@ -37,9 +35,8 @@
 	h.checkHeld("heartbeat, no connection")
 }
 
-// TestDeparture has a runner depart and end. Its tasks are reported as gone at once, and
-// renewals to it have a back-off.
-func TestDeparture(t *testing.T) {
+// TestDepartureGivesTasksUp checks that the tasks of a runner that has ended are gone at once.
+func TestDepartureGivesTasksUp(t *testing.T) {
 	for _, answer := range []runner.Answer{runner.Unreachable, runner.OtherRunner} {
 		h := newHarness(t)
 		h.step(runner.RenewLeaseResult{Call: h.depart(), Answer: answer})
@@ -52,7 +49,7 @@
 	}
 }
 
-// TestDepartureBeforeEnd has a runner answer once more between its departure and its end.
+// TestDepartureBeforeEnd guards against tasks that are given up while a departing runner goes on.
 func TestDepartureBeforeEnd(t *testing.T) {
 	h := newHarness(t)
 	h.sendList(h.depart(), control.Task{ID: start(1).Task, Run: 1, Phase: control.Running})
@@ -63,9 +60,7 @@
 	}
 }
 
-// TestDepartureBesideSuccessor hears of a departure while the next incarnation of the
-// runner, under the same name, has not listed its tasks. It may be running the start that was
-// meant for the former one.
+// TestDepartureBesideSuccessor guards against a departure that gives up a start at the next incarnation.
 func TestDepartureBesideSuccessor(t *testing.T) {
 	h := newHarness(t)
 	call := h.startFirst()
--- a/internal/runner/hold_test.go
+++ b/internal/runner/hold_test.go
@@ -7,9 +7,7 @@
 	"github.com/lovageroad/lovageroad/internal/runner"
 )
 
-// TestOrdersForUnknownRunner answers a report that names no runner with orders for one. The
-// leader doesn't count them as extending the hold of the runner's tasks, so they must not
-// extend their lease.
+// TestOrdersForUnknownRunner guards against orders that extend a lease which the leader does not count.
 func TestOrdersForUnknownRunner(t *testing.T) {
 	h := newHarness(t)
 	h.heartbeat()
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -49,10 +49,7 @@
 	return must[runner.StartTask](h)
 }
 
-// TestStartReachesNextIncarnation has a runner start again under its name before it gets a
-// start that was meant for its former incarnation. The agent learns of that from a
-// list or from a heartbeat, before or after the start is answered. It must not give the run
-// up before the new incarnation has listed its tasks under a higher fencing token.
+// TestStartReachesNextIncarnation guards against a run that is given up while the next incarnation has it.
 func TestStartReachesNextIncarnation(t *testing.T) {
 	for name, c := range map[string]struct{ accepted, listFirst bool }{
 		"accepted, list": {true, true}, "accepted, heartbeat": {true, false},
@@ -89,8 +86,7 @@
 	}
 }
 
-// TestFencedByNextIncarnation has the next incarnation of a runner reject a start that
-// was meant for the former one. The agent must not repeat it there.
+// TestFencedByNextIncarnation guards against a start that is repeated at the next incarnation.
 func TestFencedByNextIncarnation(t *testing.T) {
 	h := newHarness(t)
 	call := h.startFirst()
@@ -101,8 +97,7 @@
 	}
 }
 
-// TestReplacedRunnerIsGone has another runner answer at the address, which rejects all
-// calls to the former one. The agent reports at once that its tasks are gone.
+// TestReplacedRunnerIsGone checks that tasks of a runner that was replaced are gone at once.
 func TestReplacedRunnerIsGone(t *testing.T) {
 	h := newHarness(t)
 	call := h.startFirst()
@@ -123,9 +118,7 @@
 	}
 }
 
-// TestLateHeartbeatOfFormerRunner lets an agent that was just started hear a delayed
-// heartbeat of a runner that has been replaced. Reporting it would make the leader give
-// up the tasks of the present runner.
+// TestLateHeartbeatOfFormerRunner guards against a delayed heartbeat that gives up the present runner's tasks.
 func TestLateHeartbeatOfFormerRunner(t *testing.T) {
 	h := newHarness(t)
 	h.heartbeat()
@@ -148,8 +141,7 @@
 	h.wait(time.Second)
 }
 
-// TestSilentSuccessor has the next incarnation of a runner not answer. The agent gives
-// the tasks up when the lease has expired, not before.
+// TestSilentSuccessor guards against tasks that are given up before the lease has expired, or never.
 func TestSilentSuccessor(t *testing.T) {
 	h := newHarness(t)
 	call := h.startFirst()
@@ -176,9 +168,7 @@
 	t.Error("the tasks were not given up")
 }
 
-// TestTokenNeverFalls delays an answer of the leader from before it counted another
-// incarnation of the agent. The fencing token must not fall back with it, or the next
-// incarnation of the runner would accept a late start after its list.
+// TestTokenNeverFalls guards against a fencing token that falls with a delayed answer.
 func TestTokenNeverFalls(t *testing.T) {
 	h := newHarness(t)
 	report := h.ready()
--- a/internal/runner/lease_test.go
+++ b/internal/runner/lease_test.go
@@ -8,9 +8,7 @@
 	"github.com/lovageroad/lovageroad/internal/runner"
 )
 
-// TestLeaseOfFormerAgent starts an agent anew beside a runner with a task, and then the
-// runner does not answer. The former agent process may have asked for a lease of the whole
-// hold time just before, so the task must not be given up earlier.
+// TestLeaseOfFormerAgent guards against tasks given up while a lease of the former agent process lasts.
 func TestLeaseOfFormerAgent(t *testing.T) {
 	h := newHarness(t)
 	h.heartbeat()
--- a/internal/runner/partial_test.go
+++ b/internal/runner/partial_test.go
@@ -13,8 +13,7 @@
 	h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: 5000, Results: results, Partial: true})
 }
 
-// TestPartialListEndsNoTask sends lists that lack rows. A running task and a start without
-// an answer that they do not contain may be in the missing rows.
+// TestPartialListEndsNoTask guards against tasks that count as ended since a list lacks rows.
 func TestPartialListEndsNoTask(t *testing.T) {
 	for _, answer := range []runner.Answer{runner.Accepted, runner.NoAnswer} {
 		h := newHarness(t)
@@ -41,9 +40,7 @@
 	}
 }
 
-// TestPartialFirstList sends a first list that lacks rows to an agent that was just started.
-// It must not report the list as complete, but report its results, since more follow
-// only when these are acknowledged.
+// TestPartialFirstList guards against a first list that lacks rows and counts as complete.
 func TestPartialFirstList(t *testing.T) {
 	h := newHarness(t)
 	h.heartbeat()
--- a/internal/serve/lead_test.go
+++ b/internal/serve/lead_test.go
@@ -56,10 +56,7 @@
 	}
 }
 
-// TestReportUnderAnotherEpoch has an agent report to a leader that it does not obey
-// yet. It must learn of the epoch at once, rather than when the wait for orders ends,
-// and get orders at its next report. A gate must not lead an agent that obeys a later
-// epoch, nor answer it at once, since the agent would report again at once.
+// TestReportUnderAnotherEpoch guards against orders for, and a slow answer to, an agent of another epoch.
 func TestReportUnderAnotherEpoch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/pkg/lease/uncertain_test.go
+++ b/pkg/lease/uncertain_test.go
@@ -45,8 +45,7 @@
 	return machine.StoreResult{ID: effect.(machine.Commit).ID, Err: &table.UncertainError{Reason: "no answer"}}
 }
 
-// TestValidWhileReleasing guards against two nodes that act as holders at a time: a
-// release whose answer is late or lost lets another node acquire the lease at once.
+// TestValidWhileReleasing guards against two valid leases while the answer to a release is late or lost.
 func TestValidWhileReleasing(t *testing.T) {
 	r := newMemoryTable()
 	first, second := newNode("first"), newNode("second")
@@ -70,8 +69,7 @@
 	}
 }
 
-// TestValidAfterRelease guards against a release that is taken for failed although it may
-// still land, and against a holder that stops acting after a release that was rejected.
+// TestValidAfterRelease guards against a release that counts as failed although it may still land.
 func TestValidAfterRelease(t *testing.T) {
 	rejected := &table.RejectedError{Reason: "table unavailable"}
 	uncertain := &table.UncertainError{Reason: "no answer"}
@@ -103,8 +101,7 @@
 	}
 }
 
-// TestReleaseOvertaken guards against a holder that stops acting for a release that can
-// not land any more, since a delayed renewal has changed the row.
+// TestReleaseOvertaken guards against a holder that stops for a release which can't land any more.
 func TestReleaseOvertaken(t *testing.T) {
 	r := newMemoryTable()
 	n := newNode("node")
@@ -122,8 +119,7 @@
 	}
 }
 
-// TestEpochLedOnce guards against an epoch that is led twice by one node: a renewal is
-// confirmed after the node has stepped down or has heard of a later epoch.
+// TestEpochLedOnce guards against an epoch that one node leads twice.
 func TestEpochLedOnce(t *testing.T) {
 	for _, test := range []struct {
 		name  string
@@ -167,9 +163,7 @@
 	}
 }
 
-// TestLateWriteIsNotTheNext guards against a lease that is valid for too long: a write
-// that lands late is taken for the next one, which was sent after another node may have
-// read the row.
+// TestLateWriteIsNotTheNext guards against a lease that counts from a later write than the one that landed.
 func TestLateWriteIsNotTheNext(t *testing.T) {
 	for _, acquisition := range []bool{true, false} {
 		r := newMemoryTable()
