Bound how often the leader plans waiting tasks

Cause: each report that changes something led to a plan of all waiting tasks, so the leader's work grew with the number of agents times the number of waiting tasks.

Change: an option sets the least time between two plans; what changes meanwhile is planned together, at the next tick at the latest.

--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -46,6 +46,10 @@
 
 		// Retention is how long a job's rows are kept after the job has ended.
 		Retention time.Duration
+
+		// PlanInterval is the least time between two plans of the waiting tasks. What
+		// changes meanwhile is planned together.
+		PlanInterval time.Duration
 	}
 
 	// Option sets a field of a Config.
@@ -108,8 +112,11 @@
 		writeFailed bool
 
 		// replan says that waiting tasks must be planned again.
-		replan   bool
-		runTimes map[work.QueueID]*runTimeStats
+		replan bool
+
+		// plannedAt is the time of the last plan.
+		plannedAt time.Time
+		runTimes  map[work.QueueID]*runTimeStats
 
 		// runTimesRow is the row of the run-time statistics, last added to a
 		// batch at runTimesWritten. samples counts the run times learned,
@@ -137,6 +144,11 @@
 	return func(c *Config) { c.GangWait = wait }
 }
 
+// WithPlanInterval sets the least time between two plans of the waiting tasks.
+func WithPlanInterval(interval time.Duration) Option {
+	return func(c *Config) { c.PlanInterval = interval }
+}
+
 // New returns the core of a leader that begins an epoch. The check epochCheck fails
 // once a later epoch has begun; initialVersion is the table's version at the
 // beginning.
@@ -190,12 +202,16 @@
 	c.Plan(now)
 }
 
-// Plan places waiting tasks if something has changed or a replan is due. Otherwise
-// it does not iterate over jobs and workers, so that it is cheap enough to call
-// after each report.
+// Plan places waiting tasks if something has changed or a replan is due, and if the
+// last plan is at least Config.PlanInterval ago. Otherwise it does not iterate over
+// jobs and workers, so that it is cheap enough to call after each report.
 func (c *Core) Plan(now time.Time) {
+	if now.Sub(c.plannedAt) < c.config.PlanInterval {
+		return
+	}
 	if c.replan || !c.nextReplan.IsZero() && !now.Before(c.nextReplan) {
 		c.replan = false
+		c.plannedAt = now
 		c.schedule(now)
 	}
 }
