Bound how often an agent reports and asks its runner for lists

Cause: a runner answers a list at once while it has results that are not acknowledged, so an agent whose leader was slow called it in a loop as long as another task ran.

Change: options set the least time between two reports while one is in flight, and between two lists while results wait. NextStep says when the core wants to be called.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -280,6 +280,9 @@
 // the last report is answered. Without a leader it reports to one gate after the
 // other.
 func (c *Core) sendReport(now time.Time) {
+	if c.inFlight > 0 && now.Sub(c.reportedAt) < c.config.ReportInterval {
+		return
+	}
 	searching := c.leader == "" && c.inFlight < maxSearchReports
 	if now.Before(c.nextReport) || c.inFlight > 0 && !c.reportDue && !searching || c.inFlight >= maxReports {
 		return
@@ -299,6 +302,7 @@
 	c.inFlight++
 	c.inFlightTo[to]++
 	c.seq++
+	c.reportedAt = now
 	c.effects = append(c.effects, Send{To: to, Report: c.buildReport(), Sent: now})
 }
 
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -39,7 +39,7 @@
 		c.completeSuccession(now, e.Clock)
 	}
 	c.readClock(now, e.Clock)
-	c.lastAnswer = now
+	c.lastAnswer, c.listedAt = now, now
 	if e.Call.Number == c.renewals {
 		c.restarted = false
 	}
@@ -128,6 +128,9 @@
 	if c.renewing && !urgent {
 		return
 	}
+	if !urgent && len(c.results) > 0 && now.Sub(c.listedAt) < c.config.ListInterval {
+		return
+	}
 	if !needsList && len(c.tasks) == 0 && c.ackForwarded >= c.acked {
 		return
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -83,6 +83,15 @@
 		// HeartbeatTimeout is the time since a runner's last heartbeat after which, if it
 		// does not answer either, it gets no work.
 		HeartbeatTimeout time.Duration
+
+		// ReportInterval is the least time between two reports while the first is in
+		// flight. What changes meanwhile goes into one report.
+		ReportInterval time.Duration
+
+		// ListInterval is the least time between two lists of a runner with results
+		// that the leader has not acknowledged: it answers at once then, however long
+		// it may wait.
+		ListInterval time.Duration
 	}
 
 	// Option sets a field of a Config.
@@ -132,6 +141,10 @@
 		reportDue  bool
 		nextReport time.Time
 
+		// reportedAt is when the last report was sent, listedAt when the runner's
+		// last list arrived.
+		reportedAt, listedAt time.Time
+
 		// runner is nil until a runner has listed its tasks. Its clock showed runnerClock at
 		// runnerClockAt. lastAnswer is when it last answered; a renewal that it
 		// refused or fenced does not count.
@@ -305,6 +318,11 @@
 	return func(c *Config) { c.HoldTime = hold }
 }
 
+// WithIntervals sets the least times between two reports and between two lists.
+func WithIntervals(reports, lists time.Duration) Option {
+	return func(c *Config) { c.ReportInterval, c.ListInterval = reports, lists }
+}
+
 // New returns the core of one incarnation of an agent. seeds are the gates that it may
 // report to at first.
 func New(id control.AgentID, incarnation control.Incarnation, seeds []machine.Node, options ...Option) *Core {
@@ -351,6 +369,19 @@
 	return c.effects
 }
 
+// NextStep returns when a report or list that waits for its interval is due, so that
+// Step is to be called. The zero time means that none waits.
+func (c *Core) NextStep() time.Time {
+	var next time.Time
+	if c.reportDue && c.inFlight > 0 {
+		next = c.reportedAt.Add(c.config.ReportInterval)
+	}
+	if list := c.listedAt.Add(c.config.ListInterval); len(c.results) > 0 && !c.renewing && (next.IsZero() || list.Before(next)) {
+		next = list
+	}
+	return next
+}
+
 func (c *Core) log(event string, keyValues ...any) {
 	c.effects = append(c.effects, Log{Event: event, KeyValues: keyValues})
 }
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -25,10 +25,11 @@
 
 var self = control.RunnerID{Name: "i-1", Incarnation: 1}
 
-func newHarness(t *testing.T) *harness {
+func newHarness(t *testing.T, options ...runner.Option) *harness {
+	options = append([]runner.Option{runner.WithHoldTime(6 * time.Second)}, options...)
 	return &harness{
 		t: t, now: time.Unix(1000, 0),
-		core: runner.New("a", 7, []machine.Node{"gate:1"}, runner.WithHoldTime(6*time.Second)),
+		core: runner.New("a", 7, []machine.Node{"gate:1"}, options...),
 	}
 }
 
@@ -88,6 +89,9 @@
 	h.heartbeat()
 	h.sendOrders(must[runner.Send](h), nil)
 	h.sendList(must[runner.RenewLease](h))
+	if next := h.core.NextStep(); next.After(h.now) {
+		h.wait(next.Sub(h.now))
+	}
 	return must[runner.Send](h)
 }
 
