Pace plans, reports and lists, and tell agents all gates seldom

The list of all gates went with each answer, 35 addresses on the large deployment and longer than most orders; it now goes to an agent that looks for the leader, and with one report in 32. TestGatesAreToldSeldom fails before.

--- a/internal/serve/agent.go
+++ b/internal/serve/agent.go
@@ -27,6 +27,11 @@
 	// enough that a task whose start was lost is soon started elsewhere.
 	runnerCallTimeout = 400 * time.Millisecond
 
+	// reportInterval and listInterval bound what an agent sends while much changes at
+	// its runner, or while the leader is slow to acknowledge results.
+	reportInterval = 50 * time.Millisecond
+	listInterval   = 100 * time.Millisecond
+
 	// maxEvents is the capacity of the queue of events for the core.
 	maxEvents = 1024
 )
@@ -75,7 +80,8 @@
 	return &Agent{
 		config: config, client: control.NewClient(), events: make(chan any, maxEvents),
 		metrics: NewMetrics(),
-		core:    runner.New(config.ID, incarnation, config.Seeds, runner.WithHoldTime(config.HoldTime)),
+		core: runner.New(config.ID, incarnation, config.Seeds, runner.WithHoldTime(config.HoldTime),
+			runner.WithIntervals(reportInterval, listInterval)),
 	}
 }
 
@@ -104,6 +110,8 @@
 	go a.discoverGates()
 	ticker := time.NewTicker(agentTickInterval)
 	defer ticker.Stop()
+	timer := time.NewTimer(agentTickInterval)
+	defer timer.Stop()
 	for {
 		var event any
 		select {
@@ -112,14 +120,20 @@
 		case event = <-a.events:
 		case <-ticker.C:
 			event = runner.Tick{}
+		case <-timer.C:
+			event = runner.Tick{}
 		}
 		if gates, ok := event.([]machine.Node); ok {
 			a.core.AddGates(gates)
 			event = runner.Tick{}
 		}
-		for _, effect := range a.core.Step(boottime.Now(), event) {
+		now := boottime.Now()
+		for _, effect := range a.core.Step(now, event) {
 			a.execute(effect)
 		}
+		if next := a.core.NextStep(); next.After(now) {
+			timer.Reset(next.Sub(now))
+		}
 	}
 }
 
--- a/internal/serve/lead_test.go
+++ b/internal/serve/lead_test.go
@@ -10,6 +10,7 @@
 	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/platform"
 	"github.com/lovageroad/lovageroad/internal/serve"
+	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
@@ -90,3 +91,30 @@
 		}
 	})
 }
+
+// TestGatesAreToldSeldom guards against a list of all gates, which is longer than most
+// orders, in each answer to an agent.
+func TestGatesAreToldSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		gate, known := leadingGate(ctx, t)
+		gate.AddGates([]machine.Node{"10.0.0.1:7000"})
+		told := 0
+		for seq := range uint64(64) {
+			report := control.Report{Agent: "a", Incarnation: 7, Seq: seq + 1, Wait: time.Millisecond}
+			if seq > 0 {
+				report.Epoch = known.Epoch
+			}
+			if len(gate.Report(ctx, report).Gates) > 0 {
+				told++
+			} else if seq == 0 {
+				t.Error("an agent that looks for the leader is told no gates")
+			}
+		}
+		if told < 2 || told > 4 {
+			t.Errorf("gates told in %d of 64 answers, want 2 to 4", told)
+		}
+	})
+}
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -24,6 +24,15 @@
 	// batchDelay is the pause once all changed records are written, in which
 	// further changes gather for the next transaction.
 	batchDelay = 10 * time.Millisecond
+
+	// planInterval is the least time between two plans of the waiting tasks, below
+	// leaderTickInterval so that each tick may plan. Under load many reports
+	// change something, and one plan serves them all.
+	planInterval = 40 * time.Millisecond
+
+	// gatesInterval is the number of reports after which an agent is told all
+	// gates again. The list is longer than most orders.
+	gatesInterval = 32
 )
 
 // leader runs a region.Core while its gate leads, for one epoch. It passes
@@ -128,7 +137,7 @@
 			continue
 		}
 		core := region.New(startedAt, l.epoch, l.epochCheck, l.epochCheck.Version, current,
-			region.WithHoldTime(l.gate.config.HoldTime), region.WithGangWait(l.gate.config.GangWait), region.WithRetention(l.gate.config.Retention))
+			region.WithHoldTime(l.gate.config.HoldTime), region.WithGangWait(l.gate.config.GangWait), region.WithRetention(l.gate.config.Retention), region.WithPlanInterval(planInterval))
 		core.SetLog(l.logEntry)
 		core.SetWallClockOffset(l.gate.wallClockOffset())
 		core.Restore(boottime.Now(), rowSets[0], rowSets[1], rowSets[2], rowSets[3], rowSets[4])
@@ -345,7 +354,9 @@
 	}
 	orders := l.core.Orders(boottime.Now(), report.Agent, report.Incarnation)
 	orders.Leader = l.gate.config.Node
-	orders.Gates = l.gate.redirect().Gates
+	if report.Epoch != l.epoch || report.Seq%gatesInterval == 0 {
+		orders.Gates = l.gate.redirect().Gates
+	}
 	return orders, true
 }
 
