Leave out rows and entries that no process of ours can have written

Cause: a job's row was checked by the gate that accepted it, but not by the leaders that read it. A row with a step after one that does not exist, or with a count or repetitions that are too large, ended each new leader while it loaded: a process out of memory or out of an array's range. A caller could store such a job: 10,000 repetitions of 10,000 tasks were accepted. Rows among those of the gates were followed whatever their name, and a scan saw the first 500 only.

Each is logged with its version.

Ruled out as a cause of ends: nesting (both decoders bound it).

--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -370,11 +370,11 @@
 // find returns a task with its job and step, or nil for what is not known.
 func (c *Core) find(id work.TaskID) (*job, *step, *task) {
 	j, ok := c.jobs[id.Job]
-	if !ok || id.Occurrence >= len(j.occurrences) {
+	if !ok || id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
 		return j, nil, nil
 	}
 	o := j.occurrences[id.Occurrence]
-	if id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
+	if id.Step < 0 || id.Index < 0 || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
 		return j, nil, nil
 	}
 	s := o.steps[id.Step]
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -87,7 +87,7 @@
 		var r Record
 		id := work.JobID(row.Key[len(RecordPrefix):])
 		if err := cbor.Unmarshal(row.Value, &r); err != nil {
-			c.log(LogEntry{Event: "record unreadable", Job: id, Outcome: err.Error()})
+			c.log(LogEntry{Event: "record unreadable", Job: id, Outcome: err.Error(), Version: row.Version})
 			c.unreadable[id] = true
 			continue
 		}
@@ -111,6 +111,7 @@
 
 // ApplyRow applies the row of a job or a cancellation. It ignores a job that is already
 // known or has been removed, or whose record can't be decoded, and rows with other keys.
+// A row that no gate can have written is logged and left out.
 func (c *Core) ApplyRow(now time.Time, row table.Row) {
 	if id, ok := cutPrefix(row.Key, CancelPrefix); ok {
 		c.Cancel(now, work.JobID(id))
@@ -121,8 +122,15 @@
 		return
 	}
 	var s Submission
-	if err := cbor.Unmarshal(row.Value, &s); err != nil {
-		c.log(LogEntry{Event: "job unreadable", Job: work.JobID(id), Outcome: err.Error()})
+	err := cbor.Unmarshal(row.Value, &s)
+	if err == nil {
+		err = s.Job.Check()
+	}
+	if err == nil && s.Job.ID != work.JobID(id) {
+		err = &work.InvalidError{Field: "id", Reason: "not that of the row"}
+	}
+	if err != nil {
+		c.log(LogEntry{Event: "job unreadable", Job: work.JobID(id), Outcome: err.Error(), Version: row.Version})
 		return
 	}
 	c.Admit(now, s, row.Version)
--- a/internal/region/run_times.go
+++ b/internal/region/run_times.go
@@ -27,6 +27,10 @@
 	// times fade out.
 	statsWindow = 50
 
+	// maxLog bounds the logarithms of run times in seconds, and of the errors of
+	// estimates: far more than a year.
+	maxLog = 25
+
 	// statsWriteInterval is the shortest time between two writes of the run-time
 	// statistics. If a leader fails, only the few samples of this time are lost.
 	statsWriteInterval = 2 * time.Second
@@ -52,6 +56,11 @@
 	}
 )
 
+// valid reports whether the statistics are finite and of plausible run times.
+func (s *logStats) valid() bool {
+	return s.Count >= 0 && s.Count <= statsWindow && math.Abs(s.Mean) <= maxLog && s.Variance >= 0 && s.Variance <= maxLog*maxLog
+}
+
 // add adds a sample, which weighs at least 1/statsWindow.
 func (s *logStats) add(value float64) {
 	s.Count = min(s.Count+1, statsWindow)
@@ -171,12 +180,14 @@
 	c.runTimesRow.version = row.Version
 	var loaded map[work.QueueID]*runTimeStats
 	if err := cbor.Unmarshal(row.Value, &loaded); err != nil {
-		c.log(LogEntry{Event: "paces unreadable", Outcome: err.Error()})
+		c.log(LogEntry{Event: "paces unreadable", Outcome: err.Error(), Version: row.Version})
 		return
 	}
 	for queue, stats := range loaded {
-		if stats != nil {
-			c.runTimes[queue] = stats
+		if stats == nil || !stats.RunTime.valid() || !stats.EstimateError.valid() {
+			c.log(LogEntry{Event: "paces unreadable", Queue: queue, Outcome: "statistics out of range", Version: row.Version})
+			continue
 		}
+		c.runTimes[queue] = stats
 	}
 }
--- a/internal/serve/agent.go
+++ b/internal/serve/agent.go
@@ -141,12 +141,13 @@
 // adds these gates to the known ones. An agent whose settings name no gate that
 // still exists finds the gates in this way.
 func (a *Agent) discoverGates() {
+	ignored := make(map[table.Key]table.Version)
 	for a.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(a.ctx, tableTimeout)
-		rows, err := a.config.Table.Scan(ctx, gatePrefix, "", scanPageSize)
+		rows, err := scanAll(ctx, a.config.Table, gatePrefix)
 		cancel()
-		if err == nil && len(rows) > 0 {
-			a.Post(a.ctx, gateNodes(rows))
+		if gates := gateNodes(rows, ignored); err == nil && len(gates) > 0 {
+			a.Post(a.ctx, gates)
 			return
 		}
 		select {
--- a/internal/serve/lead_test.go
+++ b/internal/serve/lead_test.go
@@ -36,12 +36,15 @@
 	return 1, nil
 }
 
-// leadingGate runs a gate until it leads, and returns it and its epoch.
-func leadingGate(ctx context.Context, t *testing.T) (*serve.Gate, control.Orders) {
+// leadingGate runs a gate until it leads, and returns it and its epoch. The table has
+// the rows with the given keys besides.
+func leadingGate(ctx context.Context, t *testing.T, keys ...table.Key) (*serve.Gate, control.Orders) {
 	t.Helper()
 	memory := platform.NewMemory()
-	if _, err := memory.Commit(ctx, table.Txn{Writes: []table.Write{{Key: configurationKey}}}); err != nil {
-		t.Fatal(err)
+	for _, key := range append(keys, configurationKey) {
+		if _, err := memory.Commit(ctx, table.Txn{Writes: []table.Write{{Key: key}}}); err != nil {
+			t.Fatal(err)
+		}
 	}
 	gate := serve.NewGate(serve.GateConfig{
 		Node: "gate-1", Service: service{memory}, ConfigurationKey: configurationKey, HoldTime: 6 * time.Second,
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -129,7 +129,7 @@
 func (l *leader) load() (table.Version, bool) {
 	for l.ctx.Err() == nil {
 		startedAt := boottime.Now()
-		rowSets, err := l.scanAll(region.JobPrefix, region.CancelPrefix, region.RecordPrefix, region.AgentPrefix, region.RunTimesKey)
+		rowSets, err := l.scanPrefixes(region.JobPrefix, region.CancelPrefix, region.RecordPrefix, region.AgentPrefix, region.RunTimesKey)
 		current, _ := l.gate.holder.Current()
 		if err != nil || current == nil {
 			klog.InfoS("region not loaded", "epoch", l.epoch, "reason", err)
@@ -157,37 +157,20 @@
 	klog.InfoS(e.Event, e.KeyValues()...)
 }
 
-// scanAll reads all rows with each of the prefixes concurrently. No former
+// scanPrefixes reads all rows with each of the prefixes concurrently. No former
 // leader can write meanwhile, since epochCheck makes its transactions fail; rows
 // that gates write meanwhile are delivered again by the change feed.
-func (l *leader) scanAll(prefixes ...table.Key) ([][]table.Row, error) {
+func (l *leader) scanPrefixes(prefixes ...table.Key) ([][]table.Row, error) {
 	sets := make([][]table.Row, len(prefixes))
 	errs := make([]error, len(prefixes))
 	var scans sync.WaitGroup
 	for i, prefix := range prefixes {
-		scans.Go(func() { sets[i], errs[i] = l.scan(prefix) })
+		scans.Go(func() { sets[i], errs[i] = scanAll(l.ctx, l.gate.table, prefix) })
 	}
 	scans.Wait()
 	return sets, errors.Join(errs...)
 }
 
-// scan reads all rows with a prefix.
-func (l *leader) scan(prefix table.Key) ([]table.Row, error) {
-	var rows []table.Row
-	var after table.Key
-	for {
-		page, err := l.gate.table.Scan(l.ctx, prefix, after, scanPageSize)
-		if err != nil {
-			return nil, err
-		}
-		rows = append(rows, page...)
-		if len(page) < scanPageSize {
-			return rows, nil
-		}
-		after = page[len(page)-1].Key
-	}
-}
-
 // followChanges applies new jobs and cancellations from the table's change
 // feed.
 func (l *leader) followChanges(after table.Version) {
@@ -231,7 +214,7 @@
 	newest, err := l.gate.table.Newest(l.ctx)
 	var rows []table.Row
 	if err == nil {
-		rows, err = l.scan(prefix)
+		rows, err = scanAll(l.ctx, l.gate.table, prefix)
 	}
 	if err != nil {
 		l.pause(retryDelay)
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,6 +30,10 @@
 	// outage of the table.
 	staleAfter = 5 * announceInterval
 
+	// maxIgnored is the largest number of rows that are not those of gates of which a
+	// process keeps the version, so as to log them once.
+	maxIgnored = 100
+
 	// minProcessorShare is the share of the largest gate's CPU capacity below
 	// which a gate delays taking over the lease. A gate on a slightly smaller VM
 	// leads just as well.
@@ -72,23 +77,40 @@
 	return stale
 }
 
+// scanAll reads all rows with a prefix.
+func scanAll(ctx context.Context, t table.Table, prefix table.Key) ([]table.Row, error) {
+	var rows []table.Row
+	var after table.Key
+	for {
+		page, err := t.Scan(ctx, prefix, after, scanPageSize)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, page...)
+		if len(page) < scanPageSize {
+			return rows, nil
+		}
+		after = page[len(page)-1].Key
+	}
+}
+
 // discoverGates announces this gate, replaces the known gates by those that have
-// rows, at most scanPageSize of them, and deletes stale rows, until the gate
-// ends.
+// rows, and deletes stale rows, until the gate ends.
 func (g *Gate) discoverGates() {
 	var (
 		staleRows StaleRows
 		announced time.Time
+		ignored   = make(map[table.Key]table.Version)
 	)
 	for g.ctx.Err() == nil {
 		now := boottime.Now()
 		if now.Sub(announced) >= announceInterval && g.announce() {
 			announced = now
 		}
-		rows, err := g.table.Scan(g.ctx, gatePrefix, "", scanPageSize)
+		rows, err := scanAll(g.ctx, g.table, gatePrefix)
 		if err == nil {
 			g.mu.Lock()
-			g.gates = gateNodes(rows)
+			g.gates = gateNodes(rows, ignored)
 			g.mu.Unlock()
 			g.largestProcessor.Store(int64(maxProcessor(rows)))
 			g.removeStaleRows(staleRows.Observe(now, rows))
@@ -150,11 +172,20 @@
 	return leaseRenewalInterval
 }
 
-// gateNodes returns the gates that the rows belong to.
-func gateNodes(rows []table.Row) []machine.Node {
+// gateNodes returns the gates that the rows belong to. It leaves out rows whose keys are
+// not addresses, and logs each version of such a row that is not in ignored yet.
+func gateNodes(rows []table.Row, ignored map[table.Key]table.Version) []machine.Node {
 	found := make([]machine.Node, 0, len(rows))
 	for _, row := range rows {
-		found = append(found, machine.Node(row.Key[len(gatePrefix):]))
+		node := machine.Node(row.Key[len(gatePrefix):])
+		if node.Valid() {
+			found = append(found, node)
+			continue
+		}
+		if ignored[row.Key] != row.Version && len(ignored) < maxIgnored {
+			ignored[row.Key] = row.Version
+			klog.InfoS("row of a gate ignored", "row", row.Key, "version", row.Version, "reason", "not the address of a process")
+		}
 	}
 	return found
 }
--- a/internal/serve/members_test.go
+++ b/internal/serve/members_test.go
@@ -1,10 +1,16 @@
 package serve_test
 
 import (
+	"context"
+	"fmt"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/serve"
+	"github.com/lovageroad/lovageroad/pkg/machine"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
@@ -25,3 +31,27 @@
 		}
 	}
 }
+
+// TestOddGateRows has rows among those of the gates that no gate has written: names that
+// are no addresses, ports out of range, and more of them than one scan returns. Agents
+// must be told all gates, and nothing else.
+func TestOddGateRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		keys := []table.Key{
+			"gate/", "gate/x", "gate/127.0.0.1", "gate/127.0.0.1:0", "gate/127.0.0.1:70000", "gate/127.0.0.1:-1", "gate/127.0.0.1:x",
+			"gate/host:80", "gate/127.0.0.1:18446744073709551616", "gate/127.0.0.2:7000", "gate/127.99.0.1:7000",
+		}
+		for i := range 600 {
+			keys = append(keys, table.Key(fmt.Sprintf("gate/127.50.%04d", i)))
+		}
+		gate, _ := leadingGate(ctx, t, keys...)
+		time.Sleep(10 * time.Second)
+		orders := gate.Report(ctx, control.Report{Agent: "second", Incarnation: 1, Seq: 1})
+		if want := []machine.Node{"127.0.0.2:7000", "127.99.0.1:7000"}; !slices.Equal(orders.Gates, want) {
+			t.Errorf("agents are told %v, want %v", orders.Gates, want)
+		}
+	})
+}
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -20,6 +20,10 @@
 	// MaxTasks is the largest number of tasks in one occurrence of a job.
 	MaxTasks = 20_000
 
+	// MaxOccurrenceTasks is the largest number of tasks in all occurrences of a job.
+	// All of them may be due at once, and the leader keeps each in memory.
+	MaxOccurrenceTasks = 100_000
+
 	// MaxResource bounds each resource that a task may request, so that sums over
 	// all tasks do not overflow 64 bits.
 	MaxResource = 1 << 40
@@ -277,6 +281,9 @@
 	if tasks > MaxTasks {
 		return &InvalidError{"steps", fmt.Sprintf("more than %d tasks", MaxTasks)}
 	}
+	if j.OccurrenceCount > MaxOccurrenceTasks/tasks {
+		return &InvalidError{"repeats", fmt.Sprintf("more than %d tasks in all occurrences", MaxOccurrenceTasks)}
+	}
 	return nil
 }
 
--- a/pkg/machine/machine_test.go
+++ b/pkg/machine/machine_test.go
@@ -63,3 +63,14 @@
 		t.Errorf("got %v, %d pending", order, s.Pending())
 	}
 }
+
+func ExampleNode_Valid() {
+	for _, node := range []machine.Node{"10.0.0.1:7300", "10.0.0.1:70000", "10.0.0.1:0", "gate"} {
+		fmt.Println(node, node.Valid())
+	}
+	// Output:
+	// 10.0.0.1:7300 true
+	// 10.0.0.1:70000 false
+	// 10.0.0.1:0 false
+	// gate false
+}
