Notice at once that a runner has ended when nobody listens at its address

Change: a refused connection to the runner's address means that no process listens there, and a runner that has ended runs nothing. The agent gives the tasks up if the announced time has passed, and otherwise after 400 ms of refused connections. A connection that can't be made for another reason counts as before.

TestRunnerThatLeft fails without it (tasks not given up in time); TestListeningAgain guards against giving up tasks of a runner that listens again.

--- a/internal/runner/departure_test.go
+++ b/internal/runner/departure_test.go
@@ -69,3 +69,76 @@
 	h.step(runner.Gone{ID: control.RunnerID{Name: self.Name}})
 	h.checkHeld("departure")
 }
+
+// runFirst has the runner run a task and list it, and returns the task and the renewal
+// that follows.
+func (h *harness) runFirst() (control.Task, runner.RenewLease) {
+	h.t.Helper()
+	call := h.startFirst()
+	renewal := must[runner.RenewLease](h)
+	h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+	running := control.Task{ID: start(1).Task, Run: 1, Phase: control.Running}
+	h.sendList(renewal, running)
+	return running, must[runner.RenewLease](h)
+}
+
+// awaitRenewal waits until the agent renews the lease.
+func (h *harness) awaitRenewal() runner.RenewLease {
+	h.t.Helper()
+	for range 20 {
+		h.wait(50 * time.Millisecond)
+		if renewal, ok := find[runner.RenewLease](h); ok {
+			return renewal
+		}
+	}
+	return must[runner.RenewLease](h)
+}
+
+// TestRunnerThatLeft has a runner end without a word, some of them after an announcement
+// for an earlier time. Its tasks must be given up soon, and not when its lease has
+// expired, but not before nobody has listened for a while or the announced time has come.
+func TestRunnerThatLeft(t *testing.T) {
+	for name, c := range map[string]struct {
+		draining         bool
+		remaining        time.Duration
+		earliest, latest time.Duration
+	}{
+		"crashed":                 {false, 0, 400 * time.Millisecond, 800 * time.Millisecond},
+		"announced, before time":  {true, 10 * time.Second, 400 * time.Millisecond, 800 * time.Millisecond},
+		"announced, at that time": {true, 0, 0, 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			_, renewal := h.runFirst()
+			announced := control.Runner{ID: self, Pool: "p", Draining: c.draining, Remaining: c.remaining}
+			h.step(runner.Heartbeat{Runner: announced, Seq: 2, Clock: 5000})
+			for refused := h.now; ; renewal = h.awaitRenewal() {
+				h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.NotListening})
+				took := h.now.Sub(refused)
+				send, ok := find[runner.Send](h)
+				given := ok && send.Report.RunnerGone
+				if given && took < c.earliest || !given && took >= c.latest {
+					t.Errorf("tasks given up %t after %v, want between %v and %v", given, took, c.earliest, c.latest)
+				}
+				if given || took >= c.latest {
+					return
+				}
+			}
+		})
+	}
+}
+
+// TestListeningAgain guards against tasks that are given up since nobody listened at
+// times, while the runner answered in between.
+func TestListeningAgain(t *testing.T) {
+	h := newHarness(t)
+	running, renewal := h.runFirst()
+	for range 10 {
+		h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.NotListening})
+		h.checkHeld("nobody listens")
+		h.sendList(h.awaitRenewal(), running)
+		h.checkHeld("list")
+		renewal = must[runner.RenewLease](h)
+		h.wait(200 * time.Millisecond)
+	}
+}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -120,6 +120,25 @@
 	}
 }
 
+// onNotListening records that no process listens at the runner's address. Nothing runs
+// at a runner that has ended. It has, if it announced its end for an earlier time, or if
+// nobody has listened for endConfirmation.
+func (c *Core) onNotListening(now time.Time, call RenewLease) {
+	if c.refusedSince.IsZero() {
+		c.refusedSince = now
+	}
+	c.onUnreachable(now, call)
+	if c.runnerGone || c.runner == nil || c.successor != nil || call.Number != c.renewals {
+		return
+	}
+	announced := c.runner.Draining && !now.Before(c.lastHeartbeat.Add(c.runner.Remaining))
+	if announced || now.Sub(c.refusedSince) >= endConfirmation {
+		c.log("runner ended", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number,
+			"announced", announced, "refused", now.Sub(c.refusedSince))
+		c.dropTasks()
+	}
+}
+
 // dropTasks records that nothing runs at the runner any more.
 func (c *Core) dropTasks() {
 	c.tasks = make(map[runKey]*task)
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -36,6 +36,10 @@
 	// into Config.HoldTime, which each of them renews.
 	reportsPerHold = 3
 
+	// endConfirmation is how long nobody must listen at a runner's address before the
+	// runner has ended, unless it has announced that: more than one renewalRetry.
+	endConfirmation = 400 * time.Millisecond
+
 	// renewalRetry is the back-off before the next lease renewal after one that
 	// failed.
 	renewalRetry = 200 * time.Millisecond
@@ -221,7 +225,7 @@
 		}
 		delete(c.tasks, key)
 		c.refuse(key, "fenced")
-	case Refused, Unreachable:
+	case Refused, Unreachable, NotListening:
 		delete(c.tasks, key)
 		c.refuse(key, e.Reason)
 	default:
@@ -244,7 +248,7 @@
 
 // recordContact records the time of an answer of the runner, whatever it says.
 func (c *Core) recordContact(now time.Time, answer Answer) {
-	if answer != NoAnswer && answer != Unreachable {
+	if answer != NoAnswer && answer != Unreachable && answer != NotListening {
 		c.lastAnswer = now
 	}
 }
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -16,6 +16,9 @@
 	if e.Call.Number == c.renewals {
 		c.renewing = false
 	}
+	if e.Answer != NotListening {
+		c.refusedSince = time.Time{}
+	}
 	switch e.Answer {
 	case Accepted:
 		if e.Call.Number == c.renewals {
@@ -27,6 +30,8 @@
 		c.onOtherRunner(now, e.Call)
 	case Unreachable:
 		c.onUnreachable(now, e.Call)
+	case NotListening:
+		c.onNotListening(now, e.Call)
 	default:
 		c.nextRenewal = now.Add(renewalRetry)
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -44,6 +44,11 @@
 	// Unreachable says that no connection to the runner could be made: the call
 	// never takes effect, and the runner may be down.
 	Unreachable
+
+	// NotListening says that the machine refused the connection since no process
+	// listens at the runner's address: the call never takes effect, and the runner
+	// has ended unless it is about to listen.
+	NotListening
 )
 
 type (
@@ -159,6 +164,10 @@
 		// tasks yet, or nil.
 		successor *Heartbeat
 
+		// refusedSince is when the first of the last renewals found nobody listening, or
+		// the zero time if the last one did not.
+		refusedSince time.Time
+
 		// listComplete says that tasks is complete, and runnerGone that nothing runs at
 		// the runner any more. departing says that the runner has announced its end
 		// since its last heartbeat, restarted that it was started again under its
@@ -391,7 +400,7 @@
 	c.runner, c.successor = nil, nil
 	c.listComplete, c.runnerGone, c.departing, c.restarted = false, false, false, false
 	c.heartbeatSeq, c.heldUntil, c.requestedUntil = 0, 0, 0
-	c.renewing, c.listRequest = false, 0
+	c.renewing, c.listRequest, c.refusedSince = false, 0, time.Time{}
 	c.acked, c.ackForwarded = 0, 0
 	c.tasks = make(map[runKey]*task)
 	c.results = make(map[control.ResultID]control.Result)
