Stop tasks that can't end before their runner leaves

Change: when a runner drains, the leader stops those of its tasks whose expected remaining time is longer than the runner stays, and the other members of their gangs; they wait again as soon as they have stopped, with what they have saved. Long-running tasks stay.

--- /dev/null
+++ b/internal/region/evacuate.go
@@ -0,0 +1,41 @@
+package region
+
+import (
+	"time"
+)
+
+// evacuate stops the tasks on a worker whose runner has announced its end, if they can't
+// end before it. They wait again as soon as they have stopped, with what they have saved,
+// instead of when the loss of the worker is certain. A long-running task stays until the
+// end, since it can't do any more elsewhere.
+//
+// It answers the load of VMs that are taken away at short notice with many tasks on each.
+func (c *Core) evacuate(now time.Time, w *worker) {
+	for _, id := range w.taskIDs() {
+		p := w.placements[id]
+		j, s, t := c.find(id)
+		if t == nil || t.worker != w || t.run != p.run || t.stopping || s.spec.LongRunning {
+			continue
+		}
+		left := c.remainingTime(now, j, s, t)
+		if left <= w.runner.Remaining {
+			continue
+		}
+		c.log(LogEntry{Event: "task evacuated", Task: id, Run: t.run, Worker: w.id, Age: left})
+		t.stopping = true
+		w.markOrdersPending()
+		c.stopGang(s, t.run)
+	}
+}
+
+// remainingTime estimates how long a task still runs, from its progress and from how
+// long tasks of its queue usually run. The progress of a task that resumed from a
+// checkpoint includes work of earlier runs, so that the longer of both counts.
+func (c *Core) remainingTime(now time.Time, j *job, s *step, t *task) time.Duration {
+	percent := min(max(t.percent, 0), 100)
+	left := c.expected(j, s) * time.Duration(100-percent) / 100
+	if percent > 0 {
+		left = max(left, now.Sub(t.orderedAt)*time.Duration(100-percent)/time.Duration(percent))
+	}
+	return left
+}
--- a/internal/region/log.go
+++ b/internal/region/log.go
@@ -26,7 +26,10 @@
 	Age     time.Duration
 	Count   int
 
-	// Version is the version of the job's row.
+	// EpochAge is the time since the leader's epoch began.
+	EpochAge time.Duration
+
+	// Version is the version of the row, or of the job's.
 	Version table.Version
 
 	// ReportEpoch, ReportSeq and Incarnation are the report's that led to the entry.
@@ -54,6 +57,7 @@
 	add(l.Outcome != "", "outcome", l.Outcome)
 	add(l.Detail != "", "detail", l.Detail)
 	add(l.Age != 0, "age", l.Age.Round(time.Millisecond))
+	add(l.EpochAge != 0, "epochAge", l.EpochAge.Round(time.Millisecond))
 	add(l.Count != 0, "count", l.Count)
 	add(l.Version != 0, "version", l.Version)
 	add(l.ReportSeq != 0, "reportEpoch", l.ReportEpoch)
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -158,7 +158,9 @@
 		c.logReport(now, "report ignored", w, r, "of an earlier incarnation")
 		return false
 	case fence == w.fence && r.Seq <= w.reportSeq:
-		c.logReport(now, "report ignored", w, r, "older than one applied")
+		if r.Seq < w.reportSeq {
+			c.logReport(now, "report ignored", w, r, "older than one applied")
+		}
 		return false
 	case fence > w.fence:
 		c.logReport(now, "agent joined", w, r, "")
@@ -187,10 +189,10 @@
 	return uint16(len(w.incarnations)), true
 }
 
-// logReport logs what a report led to, with the age of the epoch.
+// logReport logs what a report led to, with the time since the epoch began.
 func (c *Core) logReport(now time.Time, event string, w *worker, r control.Report, outcome string) {
 	c.log(LogEntry{
-		Event: event, Worker: w.id, Outcome: outcome, Age: now.Sub(c.began), Count: len(r.Tasks),
+		Event: event, Worker: w.id, Outcome: outcome, EpochAge: now.Sub(c.began), Count: len(r.Tasks),
 		ReportEpoch: r.Epoch, ReportSeq: r.Seq, Incarnation: r.Incarnation,
 	})
 }
@@ -234,6 +236,9 @@
 	if r.Complete {
 		c.reconcileTasks(now, w, r)
 	}
+	if w.runner.Draining && !w.runnerGone {
+		c.evacuate(now, w)
+	}
 }
 
 // replaceRunner handles the first runner of an agent, or another incarnation of its
