Hold capacity for gangs that wait beside many small tasks

Change: a gang, or a single task, that does not fit now keeps the workers that are expected to have room first, if it can start within its own run time; demands that come after it get no part of that capacity. Nothing is held while half of the accelerators are free.

--- a/internal/plan/overload_test.go
+++ b/internal/plan/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/lovageroad/lovageroad/internal/plan"
 	"github.com/lovageroad/lovageroad/internal/work"
@@ -20,7 +21,7 @@
 			workers[i].Occupants = append(workers[i].Occupants, plan.Occupant{
 				Task:     work.TaskID{StepID: work.StepID{Job: work.JobID(fmt.Sprintf("o%d", (i*7+k)%40))}, Index: i*8 + k},
 				Request:  work.Resources{Processor: 11000, Memory: 23000, Accelerators: 1},
-				Priority: 2, LostWork: float64(10 + (i*13+k*7)%90),
+				Priority: 2, LostWork: float64(10 + (i*13+k*7)%90), Remaining: time.Duration((i*7+k*3)%9) * time.Second,
 			})
 		}
 	}
@@ -34,11 +35,12 @@
 			d = demand(d.Step.Job, 5, 1<<(i%4))
 			d.Spec.Need = work.Resources{Processor: 15000, Memory: 31000, Accelerators: 1 << (i % 4)}
 			d.Spec.Gang, d.Spec.SameRack, d.Priority, d.PreemptionBudget = true, true, 0, 100
+			d.HoldHorizon = 3 * time.Second
 			d.AllowRemote = i%2 == 0
 		case 1:
 			d = demand(d.Step.Job, 13, 1<<(i%4))
 			d.Spec.Need = work.Resources{Processor: 52000, Memory: 140000, Accelerators: 1 << (i % 4)}
-			d.Spec.Gang, d.Spec.SameRack = true, i%2 == 0
+			d.Spec.Gang, d.Spec.SameRack, d.HoldHorizon = true, i%2 == 0, 7*time.Second
 		}
 		demands = append(demands, d)
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"github.com/lovageroad/lovageroad/internal/work"
 )
@@ -36,6 +37,9 @@
 
 		// LostWork is the work in core-seconds that is lost if the task stops now.
 		LostWork float64
+
+		// Remaining is how long the task is expected to run on.
+		Remaining time.Duration
 	}
 
 	// Worker is a runner with its capacity and the tasks on it.
@@ -72,6 +76,10 @@
 		PreemptionBudget float64
 		Priority         work.Priority
 
+		// HoldHorizon is how far ahead capacity may be kept for the demand if it does
+		// not fit now. Zero means that none is.
+		HoldHorizon time.Duration
+
 		// IdleReserve is how many idle workers of the pool the demand must leave free for
 		// more urgent work.
 		IdleReserve int
@@ -135,7 +143,8 @@
 }
 
 // serve places the waiting tasks of a demand. If not all fit, a demand that may
-// preempt others reserves capacity for the rest.
+// preempt others reserves capacity for the rest, and a demand that may wait for others
+// holds it.
 func (p *planner) serve(d *Demand) {
 	p.demandNumber++
 	for _, id := range d.Avoid {
@@ -151,6 +160,9 @@
 	if d.Guaranteed || d.PreemptionBudget > 0 {
 		p.reserve(d)
 	}
+	if d.HoldHorizon > 0 {
+		p.hold(d)
+	}
 }
 
 // groups returns the sets of workers to try, in order of preference. A gang is
--- a/internal/plan/worker_state.go
+++ b/internal/plan/worker_state.go
@@ -27,6 +27,10 @@
 		// these the ones that lose the least work.
 		victims []int
 
+		// ends are the indexes of the occupants in the order in which they are expected
+		// to end, or nil if that has not been needed yet.
+		ends []int
+
 		// avoidedBy is the number of the last demand that avoids the worker.
 		avoidedBy int
 
@@ -114,7 +118,12 @@
 // demand must leave free for more urgent work. The idle reserve does not apply
 // while at least half of the pool's accelerators are free.
 func (s *poolState) idleReserveReached(d *Demand) bool {
-	return d.IdleReserve > 0 && s.idleWorkers <= d.IdleReserve && 2*s.freeAccelerators < s.allAccelerators
+	return d.IdleReserve > 0 && s.idleWorkers <= d.IdleReserve && !s.halfFree()
+}
+
+// halfFree reports whether at least half of the pool's accelerators are free.
+func (s *poolState) halfFree() bool {
+	return 2*s.freeAccelerators >= s.allAccelerators
 }
 
 // setFree sets the worker's free capacity and keeps the pool's in line with it.
--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -269,6 +269,9 @@
 		Guaranteed: guaranteed, Priority: queue.Priority,
 		AllowRemote: now.Sub(s.readyAt) > time.Duration(localityWaitFraction*float64(c.expected(j, s))),
 	}
+	if d.class != tooLate && (s.spec.Gang || s.spec.Count == 1) {
+		d.demand.HoldHorizon = c.expected(j, s)
+	}
 	if d.class == onTime && now.Add(criticalPath+preemptionLead).After(deadline) {
 		d.demand.PreemptionBudget = preemptionBudgetShare * c.expected(j, s).Seconds() * coreWeight(s) * float64(len(waiting))
 	}
@@ -339,6 +342,7 @@
 			o.Gang = s.spec.Gang
 			o.Protected = guaranteed[j] || t.done
 			o.LostWork = c.lostWork(now, s, t)
+			o.Remaining = c.remainingTime(now, j, s, t)
 		}
 		planned.Occupants = append(planned.Occupants, o)
 	}
