Spend the last attempt of a job on a worker that has failed nothing lately

Change: a step whose job fails with its next failure starts only on workers that have failed nothing since they last ran a task well, for 2 s after its back-off; then anywhere, since a gang may need all workers.

TestLastAttempt fails before; TestLastAttemptWaitsNotForever bounds it.

--- a/internal/plan/candidates.go
+++ b/internal/plan/candidates.go
@@ -13,6 +13,9 @@
 	requirement struct {
 		pool  work.PoolID
 		label work.Label
+
+		// trusted leaves out workers with a Penalty.
+		trusted bool
 	}
 
 	// candidates are the workers that meet a requirement, in the order given to Plan.
@@ -31,7 +34,7 @@
 // candidatesOf returns the workers that may run the demand's tasks. They are the same
 // for all demands with the same requirement.
 func (p *planner) candidatesOf(d *Demand) *candidates {
-	key := requirement{d.Pool, d.Spec.Requires}
+	key := requirement{d.Pool, d.Spec.Requires, d.Trusted}
 	c := p.candidates[key]
 	if c == nil {
 		c = &candidates{}
@@ -48,7 +51,7 @@
 
 // meets reports whether a task with the requirement may start on the worker.
 func (w *workerState) meets(r requirement) bool {
-	return !w.Unschedulable && w.Pool == r.pool && (r.label == "" || slices.Contains(w.Labels, r.label))
+	return !w.Unschedulable && w.Pool == r.pool && (!r.trusted || w.Penalty == 0) && (r.label == "" || slices.Contains(w.Labels, r.label))
 }
 
 func (c *candidates) add(w *workerState, rackIndex map[work.RackID]int) {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -88,6 +88,9 @@
 		// step over several racks, if the preferred workers lack free capacity.
 		AllowRemote bool
 
+		// Trusted says that the demand must not use workers with a Penalty.
+		Trusted bool
+
 		// Avoid lists workers that the demand uses only if no other worker has free
 		// capacity.
 		Avoid []WorkerID
--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -42,6 +42,11 @@
 	// rack that they prefer.
 	replanInterval = 200 * time.Millisecond
 
+	// trustedWait is how long the last attempt of a job waits for a worker that has
+	// failed nothing since it last ran a task well. A gang that needs all workers
+	// would wait for ever otherwise.
+	trustedWait = 2 * time.Second
+
 	// preemptionLead is how long before its latest start a job may preempt tasks of
 	// lower priority: about as long as a task takes to stop.
 	preemptionLead = 1500 * time.Millisecond
@@ -278,6 +283,7 @@
 	if !guaranteed && !now.Add(criticalPath+idleReserveSlack).After(deadline) {
 		d.demand.IdleReserve = len(c.workers) / idleReserveDivisor
 	}
+	d.demand.Trusted = c.lastAttempt(j, s, waiting) && c.failedWithin(now, s, waiting, trustedWait)
 	for _, i := range waiting {
 		for _, id := range s.tasks[i].avoid {
 			d.demand.Avoid = append(d.demand.Avoid, plan.WorkerID(id))
@@ -289,6 +295,23 @@
 	return d, true
 }
 
+// lastAttempt reports whether the job fails if one of the waiting tasks of the step fails
+// once more.
+func (c *Core) lastAttempt(j *job, s *step, waiting []int) bool {
+	failed := len(s.failed)
+	for _, i := range waiting {
+		failed = max(failed, len(s.tasks[i].failed))
+	}
+	limit := c.queue(j).MaxFailures
+	return limit > 1 && failed >= limit-1 && !s.spec.LongRunning
+}
+
+// failedWithin reports whether the back-off of a waiting task, after its last failure,
+// ended within the given time.
+func (c *Core) failedWithin(now time.Time, s *step, waiting []int, limit time.Duration) bool {
+	return slices.ContainsFunc(waiting, func(i int) bool { return now.Sub(s.tasks[i].retryAt) < limit })
+}
+
 // objectiveStart returns the time from which the latency objective of the
 // occurrence counts.
 func (o *occurrence) objectiveStart(j *job) time.Time {
