--- a/internal/region/last_attempt_test.go
+++ b/internal/region/last_attempt_test.go
@@ -57,7 +57,9 @@
 	h.join("a")
 	h.submit(gpuJob("j1", 1, 8))
 	first := h.report("a", nil).Starts[0]
-	h.report("a", func(r *control.Report) { r.Tasks = []control.Task{{ID: first.Task, Run: first.Run, Phase: control.Running}} })
+	h.report("a", func(r *control.Report) {
+		r.Tasks = []control.Task{{ID: first.Task, Run: first.Run, Phase: control.Running}}
+	})
 	h.report("a", func(r *control.Report) {
 		r.Results = []control.Result{{ID: 1, Task: first.Task, Run: first.Run, Outcome: control.Failed}}
 	})
