--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -132,8 +132,8 @@
 )
 
 // Plan returns the tasks to start and to stop. It serves the demands in the
-// order given, and modifies them: it takes the tasks that start or get a
-// reservation off Waiting, counts them in TasksPerWorker if there is a MaxPerRunner
+// order given, and modifies them: it takes the tasks that start, get a reservation or
+// have capacity held for them off Waiting, counts them in TasksPerWorker if there is a MaxPerRunner
 // limit, and subtracts the work lost by preemption from PreemptionBudget. For a gang
 // that gets no reservation it restores Waiting and TasksPerWorker, but not
 // PreemptionBudget.
@@ -193,9 +193,9 @@
 	if d.Spec.Gang && !fits(d, workers) {
 		return false
 	}
-	var before checkpoint
+	var before snapshot
 	if d.Spec.Gang {
-		before = p.checkpoint(d, workers)
+		before = p.snapshot(d, workers)
 	}
 	for len(d.Waiting) > 0 {
 		best := p.bestFit(d, workers)
--- a/internal/plan/preempt.go
+++ b/internal/plan/preempt.go
@@ -22,9 +22,9 @@
 		revision int
 	}
 
-	// checkpoint is the state that serving a demand changes, except the demand's
+	// snapshot is the state that serving a demand changes, except the demand's
 	// budget.
-	checkpoint struct {
+	snapshot struct {
 		workers               []*workerState
 		free                  [][2]work.Resources
 		startCount, stopCount int
@@ -50,9 +50,9 @@
 			break
 		}
 	}
-	var before checkpoint
+	var before snapshot
 	if d.Spec.Gang {
-		before = p.checkpoint(d, p.workerStates)
+		before = p.snapshot(d, p.workerStates)
 	}
 	preemptions := make([]preemption, len(workers))
 	for len(d.Waiting) > 0 {
@@ -71,10 +71,10 @@
 	}
 }
 
-// checkpoint returns the state to which restore goes back if a gang does not fit. Only
+// snapshot returns the state to which restore goes back if a gang does not fit. Only
 // the given workers may be changed in between.
-func (p *planner) checkpoint(d *Demand, workers []*workerState) checkpoint {
-	s := checkpoint{
+func (p *planner) snapshot(d *Demand, workers []*workerState) snapshot {
+	s := snapshot{
 		workers: workers, free: make([][2]work.Resources, len(workers)),
 		startCount: len(p.decision.Starts), stopCount: len(p.decision.Stops),
 		waiting: d.Waiting, tasksPerWorker: maps.Clone(d.TasksPerWorker),
@@ -85,7 +85,7 @@
 	return s
 }
 
-func (p *planner) restore(d *Demand, s checkpoint) {
+func (p *planner) restore(d *Demand, s snapshot) {
 	for i, w := range s.workers {
 		if s.free[i] != [2]work.Resources{w.free, w.projectedFree} {
 			w.setFree(s.free[i][0], s.free[i][1])
