--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -24,7 +24,7 @@
 	if len(d.Waiting) == 0 {
 		return
 	}
-	best := []opening(nil)
+	var best []opening
 	for _, group := range p.holdGroups(d) {
 		found := openings(d, group)
 		if len(found) < len(d.Waiting) {
--- a/internal/region/evacuate.go
+++ b/internal/region/evacuate.go
@@ -21,7 +21,7 @@
 		if left <= w.runner.Remaining {
 			continue
 		}
-		c.log(LogEntry{Event: "task evacuated", Task: id, Run: t.run, Worker: w.id, Age: left})
+		c.log(LogEntry{Event: "task evacuated", Task: id, Run: t.run, Worker: w.id, Remaining: left})
 		t.stopping = true
 		w.markOrdersPending()
 		c.stopGang(s, t.run)
--- a/internal/region/log.go
+++ b/internal/region/log.go
@@ -26,6 +26,9 @@
 	Age     time.Duration
 	Count   int
 
+	// Remaining is how long the task is expected to run on.
+	Remaining time.Duration
+
 	// EpochAge is the time since the leader's epoch began.
 	EpochAge time.Duration
 
@@ -57,6 +60,7 @@
 	add(l.Outcome != "", "outcome", l.Outcome)
 	add(l.Detail != "", "detail", l.Detail)
 	add(l.Age != 0, "age", l.Age.Round(time.Millisecond))
+	add(l.Remaining != 0, "remaining", l.Remaining.Round(time.Millisecond))
 	add(l.EpochAge != 0, "epochAge", l.EpochAge.Round(time.Millisecond))
 	add(l.Count != 0, "count", l.Count)
 	add(l.Version != 0, "version", l.Version)
