Hold no capacity for a gang that needs a large part of the pool

Change: capacity is held for a demand that needs at most an eighth of the workers that may run it.

TestHold has the new case, which fails before; its other cases have the workers that the bound asks for.

--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -6,6 +6,11 @@
 	"time"
 )
 
+// holdShareDivisor says that capacity is held for a demand only on at most one in this
+// many of the workers that may run it. In a small pool a gang holds so large a part that
+// more is lost by idle capacity than is gained.
+const holdShareDivisor = 8
+
 // opening is a place on a worker that one more task of a demand fits into, and the time
 // until the tasks that are in the way are expected to have ended.
 type opening struct {
@@ -17,11 +22,12 @@
 // the workers which are expected to have room first. The demands that come after it get
 // no part of it, so that small tasks don't fill each worker as it becomes free, while a
 // gang of large ones waits for many of them. It holds nothing if the demand can't start
-// within its HoldHorizon, or while at least half of the pool's accelerators are free.
+// within its HoldHorizon, if it needs too large a part of the workers, or while at least
+// half of the pool's accelerators are free.
 //
 // It answers the load of wide gangs of large tasks beside many small tasks.
 func (p *planner) hold(d *Demand) {
-	if len(d.Waiting) == 0 {
+	if len(d.Waiting) == 0 || len(d.Waiting)*holdShareDivisor > len(p.candidatesOf(d).all) {
 		return
 	}
 	var best []opening
--- a/internal/plan/hold_test.go
+++ b/internal/plan/hold_test.go
@@ -10,21 +10,29 @@
 
 // TestHold has a gang of large tasks wait beside many small ones, on workers of which two
 // are expected to have room for it soon. The small tasks must not take that room piece by
-// piece, and must start where the gang does not.
+// piece, and must start where the gang does not. In a pool of which the gang needs a large
+// part, all room is used.
 func TestHold(t *testing.T) {
 	const horizon = 3 * time.Second
 	for name, c := range map[string]struct {
 		remaining []time.Duration
 		horizon   time.Duration
+		full      int
 		want      map[plan.WorkerID]int
 	}{
-		"soon":         {[]time.Duration{1, 2, 9}, horizon, map[plan.WorkerID]int{"w02": 2}},
-		"too late":     {[]time.Duration{1, 8, 9}, horizon, map[plan.WorkerID]int{"w00": 2, "w01": 2, "w02": 2}},
-		"not to wait":  {[]time.Duration{1, 2, 9}, 0, map[plan.WorkerID]int{"w00": 2, "w01": 2, "w02": 2}},
-		"other worker": {[]time.Duration{9, 2, 1}, horizon, map[plan.WorkerID]int{"w00": 2}},
+		"soon":         {[]time.Duration{1, 2, 9}, horizon, 13, map[plan.WorkerID]int{"w02": 2}},
+		"too late":     {[]time.Duration{1, 8, 9}, horizon, 13, map[plan.WorkerID]int{"w00": 2, "w01": 2, "w02": 2}},
+		"not to wait":  {[]time.Duration{1, 2, 9}, 0, 13, map[plan.WorkerID]int{"w00": 2, "w01": 2, "w02": 2}},
+		"other worker": {[]time.Duration{9, 2, 1}, horizon, 13, map[plan.WorkerID]int{"w00": 2}},
+		"large part":   {[]time.Duration{1, 2, 9}, horizon, 12, map[plan.WorkerID]int{"w00": 2, "w01": 2, "w02": 2}},
 	} {
-		workers := idleWorkers(3)
+		workers := idleWorkers(3 + c.full)
 		for i := range workers {
+			if i >= len(c.remaining) {
+				occupy(&workers[i], work.JobID(workers[i].ID), 8, 2, 10)
+				workers[i].Occupants[0].Remaining = time.Minute
+				continue
+			}
 			occupy(&workers[i], work.JobID(workers[i].ID), 6, 2, 10)
 			workers[i].Occupants[0].Remaining = c.remaining[i] * time.Second
 		}
