Call capacity that is kept for a gang earmarked

A hold is the time for which tasks run without an answer of the leader; the planner used the same word for something else. Names and pages only.

--- a/internal/plan/hold.go
+++ b/internal/plan/earmark.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// holdShareDivisor says that capacity is held for a demand only on at most one in this
-// many of the workers that may run it. In a small pool a gang holds so large a part that
+// earmarkShareDivisor says that capacity is earmarked for a demand on at most one in this
+// many of the workers that may run it. In a small pool a gang needs so large a part that
 // more is lost by idle capacity than is gained.
-const holdShareDivisor = 8
+const earmarkShareDivisor = 8
 
 // opening is a place on a worker that one more task of a demand fits into, and the time
 // until the tasks that are in the way are expected to have ended.
@@ -18,20 +18,20 @@
 	wait   time.Duration
 }
 
-// hold keeps capacity for a demand that does not fit now and preempts nothing: that of
+// earmark keeps capacity for a demand that does not fit now and preempts nothing: that of
 // the workers which are expected to have room first. The demands that come after it get
 // no part of it, so that small tasks don't fill each worker as it becomes free, while a
-// gang of large ones waits for many of them. It holds nothing if the demand can't start
-// within its HoldHorizon, if it needs too large a part of the workers, or while at least
+// gang of large ones waits for many of them. It keeps nothing if the demand can't start
+// within its EarmarkHorizon, if it needs too large a part of the workers, or while at least
 // half of the pool's accelerators are free.
 //
 // It answers the load of wide gangs of large tasks beside many small tasks.
-func (p *planner) hold(d *Demand) {
-	if len(d.Waiting) == 0 || len(d.Waiting)*holdShareDivisor > len(p.candidatesOf(d).all) {
+func (p *planner) earmark(d *Demand) {
+	if len(d.Waiting) == 0 || len(d.Waiting)*earmarkShareDivisor > len(p.candidatesOf(d).all) {
 		return
 	}
 	var best []opening
-	for _, group := range p.holdGroups(d) {
+	for _, group := range p.earmarkGroups(d) {
 		found := openings(d, group)
 		if len(found) < len(d.Waiting) {
 			continue
@@ -52,8 +52,8 @@
 	}
 }
 
-// holdGroups returns the sets of workers of which one is to run the demand.
-func (p *planner) holdGroups(d *Demand) [][]*workerState {
+// earmarkGroups returns the sets of workers of which one is to run the demand.
+func (p *planner) earmarkGroups(d *Demand) [][]*workerState {
 	c := p.candidatesOf(d)
 	switch {
 	case d.AllowRemote:
@@ -65,7 +65,7 @@
 	return [][]*workerState{c.all}
 }
 
-// openings returns where tasks of the demand will fit within its HoldHorizon, at most as
+// openings returns where tasks of the demand will fit within its EarmarkHorizon, at most as
 // many on each worker as wait.
 func openings(d *Demand, workers []*workerState) []opening {
 	var found []opening
@@ -81,7 +81,7 @@
 			if w.stopping[i] {
 				continue
 			}
-			if o.Remaining > d.HoldHorizon || known == len(d.Waiting) {
+			if o.Remaining > d.EarmarkHorizon || known == len(d.Waiting) {
 				break
 			}
 			available = available.Add(o.Request)
--- a/internal/plan/hold_test.go
+++ b/internal/plan/earmark_test.go
@@ -8,11 +8,11 @@
 	"github.com/lovageroad/lovageroad/internal/work"
 )
 
-// TestHold has a gang of large tasks wait beside many small ones, on workers of which two
+// TestEarmark has a gang of large tasks wait beside many small ones, on workers of which two
 // are expected to have room for it soon. The small tasks must not take that room piece by
 // piece, and must start where the gang does not. In a pool of which the gang needs a large
 // part, all room is used.
-func TestHold(t *testing.T) {
+func TestEarmark(t *testing.T) {
 	const horizon = 3 * time.Second
 	for name, c := range map[string]struct {
 		remaining []time.Duration
@@ -37,7 +37,7 @@
 			workers[i].Occupants[0].Remaining = c.remaining[i] * time.Second
 		}
 		gang := demand("gang", 2, 8)
-		gang.Spec.Gang, gang.HoldHorizon = true, c.horizon
+		gang.Spec.Gang, gang.EarmarkHorizon = true, c.horizon
 		got := make(map[plan.WorkerID]int)
 		for _, start := range plan.Plan(workers, []plan.Demand{gang, demand("small", 6, 1)}).Starts {
 			got[start.Worker]++
--- a/internal/plan/overload_test.go
+++ b/internal/plan/overload_test.go
@@ -35,12 +35,12 @@
 			d = demand(d.Step.Job, 5, 1<<(i%4))
 			d.Spec.Need = work.Resources{Processor: 15000, Memory: 31000, Accelerators: 1 << (i % 4)}
 			d.Spec.Gang, d.Spec.SameRack, d.Priority, d.PreemptionBudget = true, true, 0, 100
-			d.HoldHorizon = 3 * time.Second
+			d.EarmarkHorizon = 3 * time.Second
 			d.AllowRemote = i%2 == 0
 		case 1:
 			d = demand(d.Step.Job, 13, 1<<(i%4))
 			d.Spec.Need = work.Resources{Processor: 52000, Memory: 140000, Accelerators: 1 << (i % 4)}
-			d.Spec.Gang, d.Spec.SameRack, d.HoldHorizon = true, i%2 == 0, 7*time.Second
+			d.Spec.Gang, d.Spec.SameRack, d.EarmarkHorizon = true, i%2 == 0, 7*time.Second
 		}
 		demands = append(demands, d)
 	}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -76,9 +76,9 @@
 		PreemptionBudget float64
 		Priority         work.Priority
 
-		// HoldHorizon is how far ahead capacity may be kept for the demand if it does
+		// EarmarkHorizon is how far ahead capacity may be kept for the demand if it does
 		// not fit now. Zero means that none is.
-		HoldHorizon time.Duration
+		EarmarkHorizon time.Duration
 
 		// IdleReserve is how many idle workers of the pool the demand must leave free for
 		// more urgent work.
@@ -133,7 +133,7 @@
 
 // Plan returns the tasks to start and to stop. It serves the demands in the
 // order given, and modifies them: it takes the tasks that start, get a reservation or
-// have capacity held for them off Waiting, counts them in TasksPerWorker if there is a MaxPerRunner
+// have capacity earmarked for them off Waiting, counts them in TasksPerWorker if there is a MaxPerRunner
 // limit, and subtracts the work lost by preemption from PreemptionBudget. For a gang
 // that gets no reservation it restores Waiting and TasksPerWorker, but not
 // PreemptionBudget.
@@ -146,8 +146,8 @@
 }
 
 // serve places the waiting tasks of a demand. If not all fit, a demand that may
-// preempt others reserves capacity for the rest, and a demand that may wait for others
-// holds it.
+// preempt others reserves capacity for the rest, and for a demand that may wait for others
+// capacity is earmarked.
 func (p *planner) serve(d *Demand) {
 	p.demandNumber++
 	for _, id := range d.Avoid {
@@ -163,8 +163,8 @@
 	if d.Guaranteed || d.PreemptionBudget > 0 {
 		p.reserve(d)
 	}
-	if d.HoldHorizon > 0 {
-		p.hold(d)
+	if d.EarmarkHorizon > 0 {
+		p.earmark(d)
 	}
 }
 
--- a/internal/region/schedule.go
+++ b/internal/region/schedule.go
@@ -275,7 +275,7 @@
 		AllowRemote: now.Sub(s.readyAt) > time.Duration(localityWaitFraction*float64(c.expected(j, s))),
 	}
 	if d.class != tooLate && (s.spec.Gang || s.spec.Count == 1) {
-		d.demand.HoldHorizon = c.expected(j, s)
+		d.demand.EarmarkHorizon = c.expected(j, s)
 	}
 	if d.class == onTime && now.Add(criticalPath+preemptionLead).After(deadline) {
 		d.demand.PreemptionBudget = preemptionBudgetShare * c.expected(j, s).Seconds() * coreWeight(s) * float64(len(waiting))
