review: a backlog of timed jobs stops the leader

The leader starts 3,520 work items and then does nothing any more; accepted jobs stay queued with all runners idle.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
   echo "run review/build.sh first" >&2
   exit 2
 fi
-exec ../.bin/standin rack . ../../target/lovageroad
+exec ../.bin/standin suspend . ../../target/lovageroad
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,7 +15,7 @@
 		suspension = 3500 * time.Millisecond
 		cut        = 12 * time.Second
 	)
-	w, err := newWorld(log, dir, binary, trouble, 3, 11, capacity{CPU: 32000, Mem: 65536, GPU: 8})
+	w, err := newWorld(log, dir, binary, 3, 11, capacity{CPU: 32000, Mem: 65536, GPU: 8})
 	defer w.close()
 	if err != nil {
 		return abandon(log, err)
@@ -71,7 +71,7 @@
 		finish   = 14 * time.Second
 		idleTime = 3 * time.Second
 	)
-	w, err := newWorld(log, dir, binary, trouble, 3, 11, capacity{CPU: 32000, Mem: 65536, GPU: 8})
+	w, err := newWorld(log, dir, binary, 3, 11, capacity{CPU: 32000, Mem: 65536, GPU: 8})
 	defer w.close()
 	if err != nil {
 		return abandon(log, err)
@@ -101,31 +101,44 @@
 	return verdict(log, idle, "the job is %q; for %v, from %v after its acceptance, nothing of it ran: %t; idle runners of other racks: %d", state, idleTime, finish, idle, len(w.runners)-3)
 }
 
-// scheduleCase hands in a timed job with many due occurrences, beside small jobs.
+// scheduleCase hands in a job that is due each 2 s for a day, 12 hours late, beside small
+// jobs.
 func scheduleCase(log *record, dir, binary string, trouble bool) int {
+	return timedCase(log, dir, binary, trouble, 1, 2*time.Second, 12*time.Hour)
+}
+
+// backlogCase hands in sixteen jobs that are due each 10 s for a day, a day late, beside
+// small jobs.
+func backlogCase(log *record, dir, binary string, trouble bool) int {
+	return timedCase(log, dir, binary, trouble, 16, 10*time.Second, 24*time.Hour)
+}
+
+// timedCase hands in timed jobs whose first due time is long past, beside small jobs.
+func timedCase(log *record, dir, binary string, trouble bool, timed int, interval, late time.Duration) int {
 	const (
-		timedID  = "b100000000000000"
-		interval = 2 * time.Second
 		traffic  = 30 * time.Second
 		ackBound = 4 * time.Second
 		finish   = 14 * time.Second
 		idleTime = 3 * time.Second
 	)
-	w, err := newWorld(log, dir, binary, trouble, 3, 11, capacity{CPU: 32000, Mem: 65536, GPU: 8})
+	w, err := newWorld(log, dir, binary, 3, 11, capacity{CPU: 32000, Mem: 65536, GPU: 8})
 	defer w.close()
 	if err != nil {
 		return abandon(log, err)
 	}
 	w.quietRun = true
-	job := w.job(timedID, spec{Millis: 500}, 1, 100, 160, 0, false, 500)
 	first := time.Now()
 	if trouble {
-		first = first.Add(-12 * time.Hour)
+		first = first.Add(-late)
 	}
-	job["repeats"], job["interval_ms"], job["first_run_ms"] = int(24*time.Hour/interval), interval.Milliseconds(), first.UnixMilli()
-	log.add("client", "POST %s: %v", timedID, job)
-	if accepted, _ := w.submit(timedID, job); !accepted {
-		return abandon(log, fmt.Errorf("the timed job was not accepted"))
+	for n := range timed {
+		id := fmt.Sprintf("b1%014x", n)
+		job := w.job(id, spec{Millis: 500}, 1, 100, 160, 0, false, 500)
+		job["repeats"], job["interval_ms"], job["first_run_ms"] = int(24*time.Hour/interval), interval.Milliseconds(), first.UnixMilli()
+		log.add("client", "POST %s: %v", id, job)
+		if accepted, _ := w.submit(id, job); !accepted {
+			return abandon(log, fmt.Errorf("timed job %s was not accepted", id))
+		}
 	}
 	var (
 		clients sync.WaitGroup
@@ -171,16 +184,21 @@
 	states := map[string]int{}
 	slices.Sort(jobs)
 	for _, id := range jobs {
-		state, status := w.state(0, id)
-		if state == "" {
-			state = fmt.Sprintf("status %d", status)
-		}
-		states[state]++
-		log.add("client", "GET %s: %s, nothing running for 3 s: %t", id, state, idle[id])
+		clients.Go(func() {
+			state, status := w.state(0, id)
+			if state == "" {
+				state = fmt.Sprintf("status %d", status)
+			}
+			log.add("client", "GET %s: %s, nothing running for 3 s: %t", id, state, idle[id])
+			mu.Lock()
+			states[state]++
+			mu.Unlock()
+		})
 	}
+	clients.Wait()
 	listed, open := w.unnoted(ackBound)
-	return verdict(log, waiting > 0, "%d of %d small jobs have nothing running for 3 s, 14 s after the last request, with %d work items at work on 11 runners with room for 300 each; states: %v; answers: %v; %d of %d listed ends not taken note of; refused by the store: %v",
-		waiting, len(jobs), used, states, w.answers, open, listed, w.store.refusals())
+	return verdict(log, waiting > 0, "%d of %d small jobs have nothing running for 3 s, 14 s after the last request, with %d work items at work on 11 runners with room for 300 each; %d starts in all; states: %v; answers: %v; %d of %d listed ends not taken note of; refused by the store: %v",
+		waiting, len(jobs), used, w.startCount(), states, w.answers, open, listed, w.store.refusals())
 }
 
 // wideCase hands in a job of many small work items with a long spec, beside jobs that run.
@@ -193,7 +211,7 @@
 		finish   = 14 * time.Second
 		idleTime = 3 * time.Second
 	)
-	w, err := newWorld(log, dir, binary, trouble, 3, 11, capacity{CPU: 32000, Mem: 65536, GPU: 8})
+	w, err := newWorld(log, dir, binary, 3, 11, capacity{CPU: 32000, Mem: 65536, GPU: 8})
 	defer w.close()
 	if err != nil {
 		return abandon(log, err)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(log *record, dir, binary string, trouble bool) int{
 	"suspend":  suspendCase,
 	"schedule": scheduleCase,
+	"backlog":  backlogCase,
 	"wide":     wideCase,
 	"rack":     rackCase,
 }
--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -14,11 +14,9 @@
 type process struct {
 	name, role, settings, logPath, binary string
 
-	mu     sync.Mutex
-	cmd    *exec.Cmd
-	ended  chan struct{}
-	wanted bool
-	exits  int
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
 }
 
 func newProcess(dir, binary, name, role string, settings map[string]any) (*process, error) {
@@ -52,33 +50,16 @@
 	}
 	ended := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.ended, p.wanted = cmd, ended, true
+	p.cmd, p.ended = cmd, ended
 	p.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
-		p.mu.Lock()
-		if p.wanted && p.cmd == cmd {
-			p.exits++
-		}
-		p.mu.Unlock()
 		close(ended)
 	}()
 	return nil
 }
 
-// running reports whether the process runs.
-func (p *process) running() bool {
-	p.mu.Lock()
-	ended := p.ended
-	p.mu.Unlock()
-	select {
-	case <-ended:
-		return false
-	default:
-		return true
-	}
-}
-
+// signal sends a signal to the process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -88,7 +69,6 @@
 // end asks the process to end, or kills it after a time, and waits for its end.
 func (p *process) end(grace time.Duration) {
 	p.mu.Lock()
-	p.wanted = false
 	cmd, ended := p.cmd, p.ended
 	p.mu.Unlock()
 	if grace > 0 {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -25,10 +25,6 @@
 	spec struct {
 		Millis int `json:"ms"`
 
-		// Uneven is how much longer the last work item of a step takes, in
-		// milliseconds. The others lie between.
-		Uneven int `json:"uneven_ms,omitempty"`
-
 		// Note makes the spec longer.
 		Note string `json:"note,omitempty"`
 	}
@@ -360,9 +356,6 @@
 			x.worked = x.savedWork
 		}
 	}
-	if x.spec.Uneven > 0 {
-		x.spec.Millis += r.world.uneven(o.Task, x.spec.Uneven)
-	}
 	r.runs[o.Task] = x
 	r.world.started(r, x)
 	return http.StatusOK, ""
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -260,19 +260,6 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-// count returns the number of rows of a table.
-func (s *store) count(table string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for key := range s.rows {
-		if key.Table == table {
-			n++
-		}
-	}
-	return n
-}
-
 // refusals returns how many calls were refused, by reason.
 func (s *store) refusals() map[string]int {
 	s.mu.Lock()
@@ -284,13 +271,6 @@
 	return counts
 }
 
-// value returns the value of a row of the system.
-func (s *store) value(table, key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rows[rowKey{Table: table, Key: key}].Value
-}
-
 // countingReader counts the bytes that are read.
 type countingReader struct {
 	inner interface{ Read([]byte) (int, error) }
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -9,8 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -37,19 +35,17 @@
 	// world is a small deployment on loopback addresses: the system's processes and the
 	// stand-ins around them.
 	world struct {
-		log      *record
-		dir      string
-		subnet   string
-		store    *store
-		gates    []*process
-		agents   []*process
-		runners  []*runner
-		links    [][]*link
-		client   *http.Client
-		servers  []*http.Server
-		trouble  bool
-		binary   string
-		settings func(settings map[string]any)
+		log     *record
+		dir     string
+		subnet  string
+		store   *store
+		gates   []*process
+		agents  []*process
+		runners []*runner
+		links   [][]*link
+		client  *http.Client
+		servers []*http.Server
+		binary  string
 
 		mu       sync.Mutex
 		saving   map[string]bool
@@ -62,7 +58,6 @@
 		endings  map[string]*ending
 		answers  map[string]int
 		quietRun bool
-		width    int
 	}
 
 	// ending is an end that a runner has listed.
@@ -74,9 +69,9 @@
 )
 
 // newWorld starts the store, the gates and, with a runner each, the agents.
-func newWorld(log *record, dir, binary string, trouble bool, gates, agents int, c capacity) (*world, error) {
+func newWorld(log *record, dir, binary string, gates, agents int, c capacity) (*world, error) {
 	w := &world{
-		log: log, dir: dir, trouble: trouble, binary: binary, saving: make(map[string]bool), items: make(map[string]int), done: make(map[string]int), outcomes: make(map[string]int),
+		log: log, dir: dir, binary: binary, saving: make(map[string]bool), items: make(map[string]int), done: make(map[string]int), outcomes: make(map[string]int),
 		active: make(map[string]map[*runner]uint64), endings: make(map[string]*ending), answers: make(map[string]int),
 		client: &http.Client{Timeout: callTime, Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
 	}
@@ -305,14 +300,7 @@
 	return map[string]any{"spec": string(text), "steps": []any{step}}
 }
 
-// uneven returns the part of a span by which a work item takes longer than the first.
-func (w *world) uneven(task string, span int) int {
-	index, _ := strconv.Atoi(task[strings.LastIndex(task, ".")+1:])
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return span * index / max(w.width, 1)
-}
-
+// saves reports whether the work items of a job save their progress.
 func (w *world) saves(job string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -449,36 +437,7 @@
 	return listed, open
 }
 
-// leader returns the index of the gate that holds the lease, or -1.
-func (w *world) leader() int {
-	value := w.store.value("lease", "leader")
-	for g := range w.gates {
-		if bytes.Contains(value, []byte(w.at(11+g, peerPort))) {
-			return g
-		}
-	}
-	return -1
-}
-
-// grep returns the lines of a process's log that contain all of the words.
-func (w *world) grep(p *process, words ...string) []string {
-	data, err := os.ReadFile(p.logPath)
-	if err != nil {
-		return nil
-	}
-	var found []string
-lines:
-	for _, line := range strings.Split(string(data), "\n") {
-		for _, word := range words {
-			if !strings.Contains(line, word) {
-				continue lines
-			}
-		}
-		found = append(found, line)
-	}
-	return found
-}
-
+// serve serves a handler on an address.
 func serve(address string, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
