--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -65,6 +66,9 @@
 		zone, rack        string
 		capacity          capacity
 
+		// down says that the runner is suspended or has ended.
+		down atomic.Bool
+
 		mu      sync.Mutex
 		born    int64
 		steady  time.Duration
@@ -129,6 +133,7 @@
 		return
 	}
 	r.frozen = on
+	r.down.Store(on)
 	if on {
 		r.thawed = make(chan struct{})
 	} else {
@@ -365,6 +370,7 @@
 func (r *runner) stop() {
 	r.mu.Lock()
 	r.stopped = true
+	r.down.Store(true)
 	r.mu.Unlock()
 	_ = r.server.Close()
 }
