Don't count suspended time in the estimate of a runner's clock

Cause: the agent extrapolates the runner's clock with CLOCK_BOOTTIME, which counts a suspension; the runner's steady clock doesn't. The estimate was 3.5 s too high from then on, since a reading below it was taken for one of a delayed answer, so each lease was asked for 3.5 s beyond the hold that the leader counts on.

Change: a step that comes more than 0.3 s after the last one is counted as a time in which the runner's clock may have stood still, until it is read again. A reading below what the clock was taken to show when it was asked for corrects the estimate ("clock corrected"). Heartbeats say no time at which they were asked for and never lower it.

Ruled out: CLOCK_MONOTONIC in the agent instead. It goes on while a process is stopped, as in this case, and while the runner alone stands still.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -36,7 +36,7 @@
 	runner := e.Runner
 	c.runner = &runner
 	c.heartbeatSeq, c.lastHeartbeat, c.departing = e.Seq, now, false
-	c.readClock(now, e.Clock)
+	c.readClock(now, time.Time{}, e.Clock)
 }
 
 // beginSuccession handles the first heartbeat of an incarnation. A start that was meant
@@ -57,7 +57,7 @@
 	next := c.successor
 	c.resetRunner()
 	c.runner, c.heartbeatSeq = &next.Runner, next.Seq
-	c.runnerClock, c.runnerClockAt = clock, now
+	c.runnerClock, c.runnerClockAt, c.suspended = clock, now, 0
 	// A former process of the agent may have asked for the longest lease just before.
 	c.requestedUntil = clock + Clock(c.config.HoldTime/time.Millisecond)
 }
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -43,7 +43,7 @@
 	if c.successor != nil {
 		c.completeSuccession(now, e.Clock)
 	}
-	c.readClock(now, e.Clock)
+	c.readClock(now, e.Call.Sent, e.Clock)
 	c.lastAnswer, c.listedAt = now, now
 	if e.Call.Number == c.renewals {
 		c.restarted = false
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -160,6 +160,11 @@
 		lastAnswer,
 		lastHeartbeat time.Time
 
+		// steppedAt is the time of the last step. suspended is how long the runner's clock
+		// may have stood still since its last reading.
+		steppedAt time.Time
+		suspended time.Duration
+
 		// successor is the last heartbeat of an incarnation that has not listed its
 		// tasks yet, or nil.
 		successor *Heartbeat
@@ -269,6 +274,7 @@
 // must not decrease.
 func (c *Core) Step(now time.Time, event any) []any {
 	c.effects = nil
+	c.noteGap(now)
 	switch e := event.(type) {
 	case Heartbeat:
 		c.onHeartbeat(now, e)
--- /dev/null
+++ b/internal/runner/suspension_test.go
@@ -0,0 +1,83 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/runner"
+)
+
+const suspension = 3500 * time.Millisecond
+
+// suspend lets time pass that the runner's clock does not count.
+func (s *slowRunner) suspend(d time.Duration) {
+	s.began = s.began.Add(d)
+	s.wait(d)
+}
+
+// startedRunner returns a runner with a task and the agent's next report.
+func startedRunner(t *testing.T) (*slowRunner, runner.Send) {
+	t.Helper()
+	s := &slowRunner{harness: newHarness(t)}
+	s.began = s.now
+	s.sendHeartbeat(0)
+	s.sendOrders(must[runner.Send](s.harness), nil)
+	s.sendList(must[runner.RenewLease](s.harness))
+	report := must[runner.Send](s.harness)
+	s.sendOrders(report, func(o *control.Orders) { o.Starts = []control.Start{start(1)} })
+	s.runStart()
+	return s, report
+}
+
+// answerRenewals answers the renewal among the last effects, and those that follow for a
+// while, with the running task, and returns the latest lease end that they ask for.
+func (s *slowRunner) answerRenewals(d time.Duration) runner.Clock {
+	latest := runner.Clock(0)
+	for end := s.now.Add(d); s.now.Before(end); {
+		renewal, ok := find[runner.RenewLease](s.harness)
+		s.wait(50 * time.Millisecond)
+		if ok {
+			latest = max(latest, renewal.Until)
+			listed := control.Task{ID: start(1).Task, Run: 1, Phase: control.Running}
+			s.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: s.clock(), Tasks: []control.Task{listed}})
+		}
+	}
+	return latest
+}
+
+// TestLeaseAfterSuspension guards against leases that outlast the hold since the runner's
+// clock stood still while the machine was suspended.
+func TestLeaseAfterSuspension(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pause time.Duration
+		reads time.Duration
+	}{
+		{"before a reading", suspension, 0},
+		{"after readings", suspension, time.Second},
+		{"too short to be noticed", 250 * time.Millisecond, time.Second},
+	} {
+		s, report := startedRunner(t)
+		renewal := must[runner.RenewLease](s.harness)
+		s.suspend(c.pause)
+		if c.reads > 0 {
+			s.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.NoAnswer})
+			s.wait(300 * time.Millisecond)
+			s.answerRenewals(c.reads)
+			renewal, _ = find[runner.RenewLease](s.harness)
+		}
+		report.Sent = s.now
+		s.sendOrders(report, nil)
+		s.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.NoAnswer})
+		s.wait(200 * time.Millisecond)
+		lease := s.answerRenewals(500 * time.Millisecond)
+		hold := runner.Clock(6 * time.Second / time.Millisecond)
+		held := 5000 + runner.Clock(float64(report.Sent.Sub(s.began).Milliseconds())*slowClock) + hold
+		if lease > held {
+			t.Errorf("%s: the lease ends %d ms by the runner's clock after the hold", c.name, lease-held)
+		} else if c.reads > 0 && lease < held-200 {
+			t.Errorf("%s: the lease ends %d ms by the runner's clock before the hold", c.name, held-lease)
+		}
+	}
+}
