Don't give up a silent runner while its lease lasts after a suspension

Change: the time since the last reading of the runner's clock is the least that that clock has counted, leastElapsed, which leaves out suspensions and the 2 % by which the clock may be slow. The 4 % that were allowed for the latter are part of it; for a lease of 6 s the runner is given up after 7.65 s instead of 7.74 s (calculated), still MaxOrdersAge after the end of the lease.

TestSilentRunnerAfterSuspension before: "tasks given up 1786 ms before their lease ends".

--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -180,9 +180,7 @@
 		return
 	}
 	remaining := time.Duration(c.requestedUntil-c.runnerClock) * time.Millisecond
-	// The lease lasts longer if the runner's clock runs slow: 4 % are allowed for
-	// that.
-	if now.Sub(c.runnerClockAt) > remaining+remaining/25+c.config.MaxOrdersAge {
+	if c.leastElapsed(now) > remaining+c.config.MaxOrdersAge {
 		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.lastAnswer), "until", c.requestedUntil, "clock", c.runnerClock)
 		c.dropTasks()
 	}
--- a/internal/runner/suspension_test.go
+++ b/internal/runner/suspension_test.go
@@ -81,3 +81,22 @@
 		}
 	}
 }
+
+// TestSilentRunnerAfterSuspension guards against tasks given up while the lease of a silent
+// runner lasts, since its clock stood still while the machine was suspended.
+func TestSilentRunnerAfterSuspension(t *testing.T) {
+	s, _ := startedRunner(t)
+	s.suspend(suspension)
+	for end := s.now.Add(20 * time.Second); s.now.Before(end); s.wait(100 * time.Millisecond) {
+		if send, ok := find[runner.Send](s.harness); ok && send.Report.RunnerGone {
+			if s.clock() <= s.lease {
+				t.Errorf("tasks given up %d ms before their lease ends", s.lease-s.clock())
+			}
+			return
+		}
+		if renewal, ok := find[runner.RenewLease](s.harness); ok {
+			s.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.NoAnswer})
+		}
+	}
+	t.Error("the tasks were not given up")
+}
