Stop tasks at the end of the hold if the runner's clock stood still

Cause: a lease that was granted before a suspension ends by the runner's clock, which doesn't count it, while the leader's hold timeout goes by a clock that does. The machine wakes and its tasks run on, for as long as it was suspended, after the leader has started them elsewhere. A lease can't be shortened.

Change: the agent remembers when the report was sent that its last orders answer, and once the hold of these has passed by its own clock it has all tasks stopped. Without a suspension they have lapsed by then. With a hold of 6 s the stop is sent after 6.42 s to 6.52 s and takes at most the stop grace, 0.9 s on the longest site, which is before the leader's 7.62 s (calculated).

Ruled out: a longer hold timeout of the leader. It would delay every restart by the longest suspension.

What remains: while the agent is not running either, nobody stops the tasks; a machine that is suspended for longer than the hold timeout has both runs for as long as the stop takes; an agent that was started again and has had no orders yet doesn't know the hold of its predecessor.

TestHoldAfterSuspension before: "the task was not stopped".

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -120,6 +120,9 @@
 // applyOrders carries out a leader's orders.
 func (c *Core) applyOrders(now time.Time, e SendResult) {
 	c.heldUntil = max(c.heldUntil, c.runnerNow(e.Call.Sent)+Clock(c.config.HoldTime/time.Millisecond))
+	if e.Call.Sent.After(c.heldSince) {
+		c.heldSince = e.Call.Sent
+	}
 	c.acked = max(c.acked, e.Orders.Acked)
 	for n := range c.results {
 		if n <= c.acked {
@@ -256,12 +259,29 @@
 // runDue sends the calls to the runner and the report that are due, and gives up
 // the tasks of a runner whose lease has expired.
 func (c *Core) runDue(now time.Time) {
+	c.stopExpired(now)
 	c.sendStops(now)
 	c.renewLease(now)
 	c.expireLease(now)
 	c.sendReport(now)
 }
 
+// stopExpired has all tasks stopped once the hold of the leader's last orders has passed.
+// They have ended by then, unless the runner's clock, by which their lease ends, has stood
+// still. Unlike that clock, the leader's counts the time that a machine is suspended.
+func (c *Core) stopExpired(now time.Time) {
+	hold := c.config.HoldTime + c.config.HoldTime/clockDriftDivisor + maxStepGap
+	if c.heldSince.IsZero() || now.Sub(c.heldSince) <= hold {
+		return
+	}
+	for _, key := range c.sortedRuns() {
+		if t := c.tasks[key]; !t.stopWanted {
+			t.stopWanted = true
+			c.log("hold expired", "task", key.task.String(), "run", key.run, "age", now.Sub(c.heldSince), "held", c.heldUntil, "clock", c.runnerClock)
+		}
+	}
+}
+
 // sendStops tells the runner to stop the tasks that are to stop, again and again until
 // they are no longer listed.
 func (c *Core) sendStops(now time.Time) {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -186,8 +186,12 @@
 		// requestedUntil the latest lease end that was requested of the runner.
 		heldUntil      Clock
 		requestedUntil Clock
-		tasks          map[runKey]*task
-		results        map[control.ResultID]control.Result
+
+		// heldSince is when the report was sent that the last orders answer, by the
+		// agent's own clock, or the zero time if there are none.
+		heldSince time.Time
+		tasks     map[runKey]*task
+		results   map[control.ResultID]control.Result
 
 		// refusals are the reasons of runs that will never start.
 		refusals map[runKey]string
@@ -314,7 +318,7 @@
 func (c *Core) resetRunner() {
 	c.runner, c.successor = nil, nil
 	c.listComplete, c.runnerGone, c.departing, c.restarted = false, false, false, false
-	c.heartbeatSeq, c.heldUntil, c.requestedUntil = 0, 0, 0
+	c.heartbeatSeq, c.heldUntil, c.requestedUntil, c.heldSince = 0, 0, 0, time.Time{}
 	c.renewing, c.listRequest, c.refusedSince = false, 0, time.Time{}
 	c.acked, c.ackForwarded = 0, 0
 	c.tasks = make(map[runKey]*task)
--- a/internal/runner/suspension_test.go
+++ b/internal/runner/suspension_test.go
@@ -100,3 +100,38 @@
 	}
 	t.Error("the tasks were not given up")
 }
+
+// TestHoldAfterSuspension guards against tasks that run on after the hold of the orders,
+// since the runner's clock, by which their lease ends, stood still.
+func TestHoldAfterSuspension(t *testing.T) {
+	const (
+		hold      = 6 * time.Second
+		stopGrace = 900 * time.Millisecond
+
+		// takenForLost is when a leader starts the tasks elsewhere.
+		takenForLost = 7620 * time.Millisecond
+	)
+	s, report := startedRunner(t)
+	renewal := must[runner.RenewLease](s.harness)
+	s.suspend(suspension)
+	s.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.NoAnswer})
+	stopped := time.Time{}
+	for end := s.now.Add(10 * time.Second); s.now.Before(end) && stopped.IsZero(); s.wait(50 * time.Millisecond) {
+		if _, ok := find[runner.StopTask](s.harness); ok {
+			stopped = s.now
+		} else if renewal, ok := find[runner.RenewLease](s.harness); ok {
+			listed := control.Task{ID: start(1).Task, Run: 1, Phase: control.Running}
+			s.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: s.clock(), Tasks: []control.Task{listed}})
+		}
+	}
+	if stopped.IsZero() {
+		t.Fatal("the task was not stopped")
+	}
+	age := stopped.Sub(report.Sent)
+	if age > takenForLost-stopGrace {
+		t.Errorf("stopped %s after the orders", age)
+	}
+	if age < hold {
+		t.Errorf("stopped %s after the orders, within the hold", age)
+	}
+}
