Don't take a call that breaks a limit of the table for a loss of access

One of the causes: the table answers 400 to a transaction of the leader, since a row in it is too large. The relay took each rejection for a loss of direct access and repeated the call through up to four other gates, each of which lost its own direct access by it for up to 0.4 s, and all other calls with it.

TestCommitThatBreaksALimit before: "got error <nil>, want one that says that the transaction is invalid", "1 direct commits and 2 through the peer, want 2 and 0".

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -206,7 +206,10 @@
 // final reports whether a call must not be tried elsewhere: the service has
 // answered it, or it is a commit that may have been carried out.
 func final(call control.TableCall, reply control.TableReply) bool {
-	return reply.Rejected == nil && (reply.Uncertain == nil || call.Commit != nil)
+	if reply.Rejected != nil {
+		return reply.Rejected.Invalid
+	}
+	return reply.Uncertain == nil || call.Commit != nil
 }
 
 // ask makes a call through a peer. Rejected means that it had no effect, Uncertain that
@@ -236,11 +239,12 @@
 }
 
 // recordDirect updates whether there is direct access from the reply to a direct call.
-// A call that its caller cancelled does not show it.
+// A call that its caller cancelled does not show it, and one that the service can't accept
+// shows that the service answers.
 func (t *Table) recordDirect(ctx context.Context, reply control.TableReply) {
 	reason := ""
 	switch {
-	case reply.Rejected != nil:
+	case reply.Rejected != nil && !reply.Rejected.Invalid:
 		reason = reply.Rejected.Reason
 	case reply.Uncertain != nil && errors.Is(ctx.Err(), context.Canceled):
 		return
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -92,6 +92,22 @@
 	}
 }
 
+// TestCommitThatBreaksALimit guards against gates that lose their access to the table, or
+// repeat a call, since the table can't accept one transaction.
+func TestCommitThatBreaksALimit(t *testing.T) {
+	ctx := context.Background()
+	open, own := &service{}, &service{err: &table.RejectedError{Reason: "status 400", Invalid: true}}
+	tbl := newTable(own, gates{"open": newTable(open, nil)}, "open")
+	var rejected *table.RejectedError
+	if _, err := tbl.Commit(ctx, table.Txn{}); !errors.As(err, &rejected) || !rejected.Invalid {
+		t.Errorf("got error %v, want one that says that the transaction is invalid", err)
+	}
+	own.err = nil
+	if _, err := tbl.Commit(ctx, table.Txn{}); err != nil || own.commits != 2 || open.commits != 0 {
+		t.Errorf("%d direct commits and %d through the peer, want 2 and 0; error %v", own.commits, open.commits, err)
+	}
+}
+
 // TestAllClosed cuts all gates off from the service, and one of them can't be reached.
 // Only the first call may take time to find that out.
 func TestAllClosed(t *testing.T) {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -114,9 +114,11 @@
 		Have Version
 	}
 
-	// RejectedError says that the operation was not carried out.
+	// RejectedError says that the operation was not carried out. Invalid says that the
+	// service can't accept it, however often it is tried: it breaks one of its limits.
 	RejectedError struct {
-		Reason string
+		Reason  string
+		Invalid bool
 	}
 
 	// UncertainError says that the operation may or may not have been carried
