Answer 413 at once to a job that the table can't store

A job between the two, with many steps or long labels, was answered with 503 and Retry-After, so that its caller tried again for nothing. Now the answer is 413; the job is not stored and doesn't run.

TestJobTooLarge before: "verdict 1 after 0s and 1 commits", which is NotStored.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,9 @@
 
 	// IDTaken means that another account has a job with this ID.
 	IDTaken
+
+	// TooLarge means that the table can't store the job.
+	TooLarge
 )
 
 const (
@@ -143,6 +146,8 @@
 				return e.resolveUncertain(ctx, key, j)
 			}
 			return ConfigurationChanged, err
+		case errors.As(err, &rejected) && rejected.Invalid:
+			return TooLarge, err
 		case errors.As(err, &rejected) && !mayBeStored:
 			return NotStored, err
 		case errors.As(err, &rejected):
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -90,3 +90,18 @@
 		}
 	})
 }
+
+// TestJobTooLarge guards against a job that is tried again and again, and answered with a
+// request to come back, though the table can't store it.
+func TestJobTooLarge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		commits := 0
+		verdict, took := submit(stubTable{Memory: platform.NewMemory(), commit: func(context.Context, table.Txn) (table.Version, error) {
+			commits++
+			return 0, &table.RejectedError{Reason: "status 400", Invalid: true}
+		}})
+		if verdict != entry.TooLarge || took > 0 || commits != 1 {
+			t.Errorf("verdict %v after %v and %d commits", verdict, took, commits)
+		}
+	})
+}
