Bound the open occurrences of a job and store only these

Cause: the leader opened every occurrence that is due, kept each for ever, and wrote all of them into the one row of the job's record, at least 3 bytes for each. Above 65,536 bytes the table refuses the transaction. The leader tries the same records again, so no end of any job becomes durable; results are acknowledged in order, and a runner with 500 that are not lists no more.

Change: at most 100 occurrences of a job are open, or as many as have 20,000 tasks; a further one is opened when one is done. What is done and runs nothing is dropped. A record holds how many have been opened and those that are open.

Ruled out: a bit for each occurrence that is done; the plan would still grow with the backlog.

--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -29,6 +29,11 @@
 	Cancelled State = "cancelled"
 )
 
+// maxOpenOccurrences is how many occurrences of a job may be open and not done at a time.
+// The others wait, even if they are due, so that what the leader keeps, plans and stores
+// for a job does not grow with its backlog.
+const maxOpenOccurrences = 100
+
 // maxArrivalAge is the greatest plausible age of a job when the leader learns of
 // it. It exceeds any outage during which callers would wait.
 const maxArrivalAge = 10 * time.Minute
@@ -61,11 +66,14 @@
 
 		// arrival is when a gate accepted the job, or when this leader learned of
 		// it if the gate gave no time or an implausible one.
-		arrival         time.Time
-		began           bool
-		occurrences     []*occurrence
-		doneOccurrences int
-		endedAt         time.Time
+		arrival time.Time
+		began   bool
+
+		// occurrences are the open ones, in the order of their numbers. opened is how many
+		// have been opened: those below it that are not open are done.
+		occurrences []*occurrence
+		opened      int
+		endedAt     time.Time
 
 		// hasCancelRow says that the table has a row for the job's cancellation.
 		hasCancelRow bool
@@ -256,42 +264,66 @@
 	c.log(LogEntry{Event: "job began", Job: j.Job.ID, Age: now.Sub(j.arrival)})
 }
 
-// advance adds the occurrences that have become due, makes steps ready, and
-// completes the job if all its occurrences are done.
+// advance makes steps ready, drops occurrences that are done, opens those that have become
+// due, and completes the job if all its occurrences are done.
 func (c *Core) advance(now time.Time, j *job) {
 	if j.hasEnded() {
 		return
 	}
-	for n := len(j.occurrences); n < j.Job.Occurrences(); n++ {
-		due := c.due(j, n)
-		if due.After(now) {
-			break
-		}
-		j.occurrences = append(j.occurrences, newOccurrence(j, n, due))
-		c.replan = true
-	}
-	j.doneOccurrences = 0
+	waiting := 0
 	for _, o := range j.occurrences {
 		o.advance(now)
-		if o.done {
-			j.doneOccurrences++
+		if !o.done {
+			waiting++
 		}
 	}
-	if j.doneOccurrences == j.Job.Occurrences() {
+	j.occurrences = slices.DeleteFunc(j.occurrences, func(o *occurrence) bool { return o.done && !o.hasRuns() })
+	for j.opened < j.Job.Occurrences() && waiting < j.maxOpen() && !c.due(j, j.opened).After(now) {
+		c.open(j).advance(now)
+		waiting++
+		c.replan = true
+	}
+	if waiting == 0 && j.opened == j.Job.Occurrences() {
 		c.finish(now, j, Completed)
 	}
 }
 
+// open opens the next occurrence of a job.
+func (c *Core) open(j *job) *occurrence {
+	o := newOccurrence(j, j.opened, c.due(j, j.opened))
+	j.occurrences = append(j.occurrences, o)
+	j.opened++
+	return o
+}
+
+// maxOpen returns how many occurrences of the job may be open and not done at a time.
+func (j *job) maxOpen() int {
+	tasks := 0
+	for i := range j.Job.Steps {
+		tasks += j.Job.Steps[i].Count
+	}
+	return max(min(maxOpenOccurrences, work.MaxTasks/tasks), 1)
+}
+
+// occurrence returns an open occurrence, or nil if the one with the number is not open.
+func (j *job) occurrence(number int) *occurrence {
+	i, found := slices.BinarySearchFunc(j.occurrences, number, func(o *occurrence, n int) int { return o.number - n })
+	if !found {
+		return nil
+	}
+	return j.occurrences[i]
+}
+
 // addReported adds the occurrence of a task that an agent reports, and those before it.
 // They need not be due by this leader's clock: an earlier leader, by whose clock they
 // were, has started the task.
 func (c *Core) addReported(now time.Time, id work.TaskID) {
 	j := c.jobs[id.Job]
-	if j == nil || j.hasEnded() || id.Occurrence < len(j.occurrences) || id.Occurrence >= j.Job.Occurrences() {
+	if j == nil || j.hasEnded() || id.Occurrence < j.opened || id.Occurrence >= j.Job.Occurrences() {
 		return
 	}
-	for n := len(j.occurrences); n <= id.Occurrence; n++ {
-		j.occurrences = append(j.occurrences, newOccurrence(j, n, c.due(j, n)))
+	for j.opened <= id.Occurrence {
+		c.open(j)
 	}
 	c.log(LogEntry{Event: "occurrence found", Task: id, Age: now.Sub(c.due(j, id.Occurrence))})
 	c.advance(now, j)
@@ -325,6 +357,13 @@
 	}
 }
 
+// hasRuns reports whether a task of the occurrence runs or is ordered to.
+func (o *occurrence) hasRuns() bool {
+	return slices.ContainsFunc(o.steps, func(s *step) bool {
+		return slices.ContainsFunc(s.tasks, func(t task) bool { return t.worker != nil })
+	})
+}
+
 // finish ends a job and stops its running tasks.
 func (c *Core) finish(now time.Time, j *job, state State) {
 	j.state = state
@@ -367,14 +406,15 @@
 	})
 }
 
-// find returns a task with its job and step, or nil for what is not known.
+// find returns a task with its job and step, or nil for what is not known. The tasks of an
+// occurrence that is not open are not known.
 func (c *Core) find(id work.TaskID) (*job, *step, *task) {
 	j, ok := c.jobs[id.Job]
-	if !ok || id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
-		return j, nil, nil
+	if !ok {
+		return nil, nil, nil
 	}
-	o := j.occurrences[id.Occurrence]
-	if id.Step < 0 || id.Index < 0 || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
+	o := j.occurrence(id.Occurrence)
+	if o == nil || id.Step < 0 || id.Index < 0 || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
 		return j, nil, nil
 	}
 	s := o.steps[id.Step]
--- a/internal/region/reconcile.go
+++ b/internal/region/reconcile.go
@@ -74,10 +74,10 @@
 // elsewhere. Otherwise the run is orphaned and will be stopped.
 func (c *Core) addUnordered(now time.Time, w *worker, r control.Task) *placement {
 	c.addReported(now, r.ID)
-	j, s, t := c.find(r.ID)
+	j, _, t := c.find(r.ID)
 	p := &placement{run: r.Run, orphaned: true}
-	if t != nil {
-		p.request = s.spec.Request()
+	if j != nil && r.ID.Step < len(j.Job.Steps) {
+		p.request = j.Job.Steps[r.ID.Step].Request()
 	}
 	if w.placements[r.ID] != nil {
 		c.removePlacement(w, r.ID)
@@ -100,10 +100,12 @@
 	switch {
 	case j == nil:
 		return "job unknown"
-	case t == nil:
-		return "task unknown"
 	case j.hasEnded():
 		return "job ended"
+	case t == nil && r.ID.Occurrence < j.opened:
+		return "done"
+	case t == nil:
+		return "task unknown"
 	case t.done:
 		return "done"
 	case t.worker != nil:
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -31,11 +31,17 @@
 )
 
 type (
-	// Record is the stored progress of a job. Occurrences is empty once the job has
-	// ended.
+	// Record is the stored progress of a job. Progress is empty once the job has ended.
 	Record struct {
-		State       State              `cbor:"1,keyasint"`
-		Occurrences []OccurrenceRecord `cbor:"2,keyasint,omitempty"`
+		State    State    `cbor:"1,keyasint"`
+		Progress Progress `cbor:"2,keyasint"`
+	}
+
+	// Progress is the stored progress of the occurrences of a job. Opened is how many have
+	// been opened. Those below it that are not in Open are done.
+	Progress struct {
+		Opened int                      `cbor:"1,keyasint"`
+		Open   map[int]OccurrenceRecord `cbor:"2,keyasint,omitempty"`
 	}
 
 	// OccurrenceRecord is the stored progress of one occurrence. If Complete is set,
@@ -147,17 +153,16 @@
 
 // restoreJob applies a job's stored record.
 func (c *Core) restoreJob(now time.Time, j *job, r Record) {
-	for n, record := range r.Occurrences {
-		if n >= j.Job.Occurrences() {
-			break
-		}
-		if n >= len(j.occurrences) {
-			j.occurrences = append(j.occurrences, newOccurrence(j, n, c.due(j, n)))
+	j.occurrences, j.opened = nil, 0
+	for j.opened < min(r.Progress.Opened, j.Job.Occurrences()) {
+		record, open := r.Progress.Open[j.opened]
+		if !open {
+			j.opened++
+			j.began = true
+			continue
 		}
-		for i, s := range j.occurrences[n].steps {
-			if record.Complete {
-				s.completeAll()
-			} else if i < len(record.Steps) {
+		for i, s := range c.open(j).steps {
+			if i < len(record.Steps) {
 				s.restore(record.Steps[i])
 			}
 			j.began = j.began || s.done > 0
@@ -172,14 +177,6 @@
 	c.advance(now, j)
 }
 
-// completeAll marks all tasks of the step as done.
-func (s *step) completeAll() {
-	for i := range s.tasks {
-		s.tasks[i].done = true
-	}
-	s.done = len(s.tasks)
-}
-
 // restore applies a step's stored record.
 func (s *step) restore(r StepRecord) {
 	s.failed = r.Failed
@@ -200,14 +197,16 @@
 	if j.hasEnded() {
 		return r
 	}
+	r.Progress = Progress{Opened: j.opened, Open: make(map[int]OccurrenceRecord)}
 	for _, o := range j.occurrences {
-		stored := OccurrenceRecord{Complete: o.done}
-		if !o.done {
-			for _, s := range o.steps {
-				stored.Steps = append(stored.Steps, s.record())
-			}
+		if o.done {
+			continue
+		}
+		var stored OccurrenceRecord
+		for _, s := range o.steps {
+			stored.Steps = append(stored.Steps, s.record())
 		}
-		r.Occurrences = append(r.Occurrences, stored)
+		r.Progress.Open[o.number] = stored
 	}
 	return r
 }
