Keep the leader's transactions below the table's limit of a call

The leader counted only the entries. With many large records at once, such as those of jobs whose tasks save their progress, the table refuses it, and the leader tries the same again: no end of any job becomes durable (LOST).

Change: no further record is added above 400 KiB; the rest goes into the next transaction.

TestLargeRecords, 30 jobs of 1,000 tasks with checkpoints, before: "a transaction of 30 rows has 1229850 bytes".

--- a/internal/region/batch.go
+++ b/internal/region/batch.go
@@ -9,10 +9,17 @@
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
-// maxBatch is the largest number of rows in a transaction of the leader, without
-// that of the run-time statistics. With its checks a transaction stays below the
-// table service's limit of 100 entries.
-const maxBatch = 45
+const (
+	// maxBatch is the largest number of rows in a transaction of the leader, without
+	// that of the run-time statistics. With its checks a transaction stays below the
+	// table service's limit of 100 entries.
+	maxBatch = 45
+
+	// maxBatchBytes is the number of bytes of all rows in a transaction above which no
+	// further one is added. With the largest record and in base64 it stays below the
+	// table service's limit of 1 MB.
+	maxBatchBytes = 400 << 10
+)
 
 type (
 	// Batch is a transaction of the leader, with the state that becomes durable by
@@ -29,6 +36,9 @@
 		states      []State
 		workers     []*worker
 
+		// bytes is the size of the records.
+		bytes int
+
 		// samples is the number of learned run times that the batch makes durable,
 		// 0 if it does not write the run-time statistics.
 		samples     uint64
@@ -67,7 +77,7 @@
 		w.writingRow, w.keepingRow = true, w.mayRun()
 	}
 	for _, j := range c.liveJobs {
-		if j.durableChange >= j.lastChange || j.row.versionUnknown || len(b.Txn.Writes) >= maxBatch {
+		if j.durableChange >= j.lastChange || j.row.versionUnknown || len(b.Txn.Writes) >= maxBatch || b.bytes >= maxBatchBytes {
 			continue
 		}
 		value, err := cbor.Marshal(j.record())
@@ -75,6 +85,7 @@
 			c.log(LogEntry{Event: "record not encoded", Job: j.Job.ID, Outcome: err.Error()})
 			continue
 		}
+		b.bytes += len(value)
 		b.jobs = append(b.jobs, j)
 		b.lastChanges = append(b.lastChanges, j.lastChange)
 		b.states = append(b.states, j.state)
--- /dev/null
+++ b/internal/region/large_record_test.go
@@ -0,0 +1,77 @@
+package region_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/work"
+	"github.com/lovageroad/lovageroad/pkg/table"
+)
+
+// maxCall is the largest transaction of the users' table in bytes.
+const maxCall = 1_000_000
+
+// saveTo commits batches like save, but has the table refuse those for which refuse returns
+// true, up to the given number of batches.
+func (h *harness) saveTo(batches int, refuse func(table.Txn) bool) {
+	h.t.Helper()
+	for range batches {
+		batch := h.core.Batch()
+		if batch == nil {
+			return
+		}
+		if refuse(batch.Txn) {
+			h.core.BatchDone(batch, 0, &table.RejectedError{Reason: "status 400", Invalid: true})
+			continue
+		}
+		version, err := h.table.Commit(context.Background(), batch.Txn)
+		h.core.BatchDone(batch, version, err)
+	}
+}
+
+// runJobs has an agent run a task of each of some jobs, with the checkpoint that a task of
+// each job has, and returns the jobs.
+func (h *harness) runJobs(jobs, tasks int, checkpoint work.Checkpoint) []work.JobID {
+	h.t.Helper()
+	var ids []work.JobID
+	var results []control.Result
+	for n := range jobs {
+		j := gpuJob(work.JobID(fmt.Sprintf("j%02d", n)), tasks, 0)
+		j.Steps[0].Need, j.Steps[0].Checkpoints = work.Resources{Processor: 1, Memory: 1}, true
+		h.submit(j)
+		ids = append(ids, j.ID)
+	}
+	for _, s := range h.report("a", nil).Starts {
+		results = append(results, control.Result{
+			ID: control.ResultID(len(results) + 1), Task: s.Task, Run: s.Run, Outcome: control.Stopped, Checkpoint: checkpoint,
+		})
+	}
+	h.report("a", func(r *control.Report) { r.Results = results })
+	return ids
+}
+
+// TestLargeRecords guards against a transaction that is larger than the table accepts, since
+// each of many records is large.
+func TestLargeRecords(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.runJobs(30, 1000, work.Checkpoint(strings.Repeat("c", 24)))
+	records := 0
+	h.saveTo(40, func(txn table.Txn) bool {
+		size := 0
+		for _, w := range txn.Writes {
+			size += len(w.Key) + len(w.Value)*4/3
+			records++
+		}
+		if size > maxCall {
+			t.Errorf("a transaction of %d rows has %d bytes", len(txn.Writes), size)
+		}
+		return false
+	})
+	if records < 30 {
+		t.Errorf("%d records written", records)
+	}
+}
