Don't let a record that the table refuses hold up all others

Change: after a transaction that the table can't accept, the next ones hold one row each, as many as that had. A row that is refused by itself is logged ("row refused") and tried again every 5 s, alone. What can be written is.

What remains: results are acknowledged in order, so that behind one of a job whose record is refused the later ones of the same runner wait. No record is known that is refused once its size is bounded.

--- a/internal/region/batch.go
+++ b/internal/region/batch.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -19,6 +20,9 @@
 	// further one is added. With the largest record and in base64 it stays below the
 	// table service's limit of 1 MB.
 	maxBatchBytes = 400 << 10
+
+	// refusedRowRetry is the back-off of a row that the table service can't accept.
+	refusedRowRetry = 5 * time.Second
 )
 
 type (
@@ -57,6 +61,10 @@
 		// batch with the row met a conflict. This happens if an earlier write whose
 		// outcome was uncertain has taken effect after all.
 		versionUnknown bool
+
+		// refusedUntil is until when the row is not written, since the table service
+		// could not accept it by itself. It is zero if that has not happened.
+		refusedUntil time.Time
 	}
 )
 
@@ -67,8 +75,12 @@
 		return nil
 	}
 	b := &Batch{Txn: table.Txn{Checks: []table.Check{c.epochCheck}}}
+	limit := maxBatch
+	if c.singleRows > 0 {
+		limit = 1
+	}
 	for _, w := range c.sortedWorkers() {
-		if w.hasRow() == w.mayRun() && !w.writingRow || w.row.versionUnknown || len(b.Txn.Writes) >= maxBatch {
+		if w.hasRow() == w.mayRun() && !w.writingRow || !c.mayWrite(&w.row) || len(b.Txn.Writes) >= limit {
 			continue
 		}
 		b.workers = append(b.workers, w)
@@ -77,9 +89,15 @@
 		w.writingRow, w.keepingRow = true, w.mayRun()
 	}
 	for _, j := range c.liveJobs {
-		if j.durableChange >= j.lastChange || j.row.versionUnknown || len(b.Txn.Writes) >= maxBatch || b.bytes >= maxBatchBytes {
+		if j.durableChange >= j.lastChange || !c.mayWrite(&j.row) || len(b.Txn.Writes) >= limit || b.bytes >= maxBatchBytes {
 			continue
 		}
+		if !j.row.refusedUntil.IsZero() {
+			if len(b.Txn.Writes) > 0 {
+				continue
+			}
+			limit = 1
+		}
 		value, err := cbor.Marshal(j.record())
 		if err != nil {
 			c.log(LogEntry{Event: "record not encoded", Job: j.Job.ID, Outcome: err.Error()})
@@ -92,24 +110,56 @@
 		b.Txn.Checks = append(b.Txn.Checks, j.row.check())
 		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: j.row.key, Value: value})
 	}
-	c.addExpired(b)
+	if limit > 1 {
+		c.addExpired(b)
+	}
 	if len(b.Txn.Writes) == 0 {
+		c.singleRows = 0
 		return nil
 	}
-	c.saveRunTimes(b)
+	if limit > 1 {
+		c.saveRunTimes(b)
+	}
 	c.committing = true
 	return b
 }
 
+// mayWrite reports whether a row may be written now.
+func (c *Core) mayWrite(row *trackedRow) bool {
+	return !row.versionUnknown && !c.now.Before(row.refusedUntil)
+}
+
+// onInvalid makes the next batches hold one row each after one that the table service can't
+// accept, so that the rows that it can accept are written. A row that is refused by itself
+// is tried again after a back-off.
+func (c *Core) onInvalid(b *Batch) {
+	rows := b.rows()
+	if len(b.Txn.Writes) > 1 {
+		c.singleRows = len(b.Txn.Writes)
+		return
+	}
+	for _, row := range rows {
+		row.refusedUntil = c.now.Add(refusedRowRetry)
+		c.log(LogEntry{Event: "row refused", Detail: string(row.key), Count: b.bytes})
+	}
+}
+
 // BatchDone applies the outcome of committing a batch. It returns false if a later
 // epoch has begun, so that this leader must stop.
 func (c *Core) BatchDone(b *Batch, version table.Version, err error) bool {
 	c.committing = false
-	var conflict *table.ConflictError
+	c.singleRows = max(c.singleRows-1, 0)
+	var (
+		conflict *table.ConflictError
+		rejected *table.RejectedError
+	)
 	if errors.As(err, &conflict) && conflict.Key == c.epochCheck.Key {
 		return false
 	}
 	if err != nil {
+		if errors.As(err, &rejected) && rejected.Invalid {
+			c.onInvalid(b)
+		}
 		for _, row := range b.rows() {
 			row.versionUnknown = conflict != nil
 		}
@@ -127,7 +177,7 @@
 		c.log(LogEntry{Event: "records written again", Count: len(b.Txn.Writes)})
 	}
 	for _, row := range b.rows() {
-		row.version = version
+		row.version, row.refusedUntil = version, time.Time{}
 	}
 	for _, w := range b.workers {
 		if !w.keepingRow {
--- a/internal/region/large_record_test.go
+++ b/internal/region/large_record_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/region"
 	"github.com/lovageroad/lovageroad/internal/work"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
@@ -53,6 +55,21 @@
 	return ids
 }
 
+// TestRefusedRow guards against one record that the table can't accept and that holds up all
+// others.
+func TestRefusedRow(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	ids := h.runJobs(20, 1, "c")
+	h.saveTo(40, func(txn table.Txn) bool {
+		return slices.ContainsFunc(txn.Writes, func(w table.Write) bool { return w.Key == region.RecordPrefix+"j07" })
+	})
+	rows, err := h.table.Scan(context.Background(), region.RecordPrefix, "", 1000)
+	if err != nil || len(rows) != len(ids)-1 {
+		t.Errorf("%d of %d records written, %v", len(rows), len(ids)-1, err)
+	}
+}
+
 // TestLargeRecords guards against a transaction that is larger than the table accepts, since
 // each of many records is large.
 func TestLargeRecords(t *testing.T) {
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -108,6 +108,9 @@
 		// committing says that a batch is in flight.
 		committing bool
 
+		// singleRows is how many of the next batches hold one row each.
+		singleRows int
+
 		// writeFailed says that committing the last batch returned an error.
 		writeFailed bool
 
