Store a record that is larger than a row in several rows

Change: a record above three quarters of row_bytes (the limit may count base64) is stored as one row that says how many others hold the progress, in the same transaction, so that one check of a version covers all. Above 400 KiB it goes without checkpoints, which cost work at a change of leader and nothing else. Gates of the release before can't decode such a record and start nothing of that job, as before with any that they can't read.

--- a/internal/region/batch.go
+++ b/internal/region/batch.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
@@ -16,6 +14,10 @@
 	// table service's limit of 100 entries.
 	maxBatch = 45
 
+	// maxEntries is the largest number of checks and writes without those of the run-time
+	// statistics: the table service's limit is 100.
+	maxEntries = 98
+
 	// maxBatchBytes is the number of bytes of all rows in a transaction above which no
 	// further one is added. With the largest record and in base64 it stays below the
 	// table service's limit of 1 MB.
@@ -43,6 +45,9 @@
 		// bytes is the size of the records.
 		bytes int
 
+		// parts are the numbers of further rows of these records.
+		parts []int
+
 		// samples is the number of learned run times that the batch makes durable,
 		// 0 if it does not write the run-time statistics.
 		samples     uint64
@@ -98,17 +103,23 @@
 			}
 			limit = 1
 		}
-		value, err := cbor.Marshal(j.record())
+		record, err := j.encodeRecord(c.config.RowBytes)
 		if err != nil {
 			c.log(LogEntry{Event: "record not encoded", Job: j.Job.ID, Outcome: err.Error()})
 			continue
 		}
-		b.bytes += len(value)
+		writes := record.writes(j)
+		if len(b.Txn.Checks)+len(b.Txn.Writes)+1+len(writes) > maxEntries {
+			continue
+		}
+		b.bytes += record.size()
+		b.parts = append(b.parts, len(record.parts))
+		j.parts = max(j.parts, len(record.parts))
 		b.jobs = append(b.jobs, j)
 		b.lastChanges = append(b.lastChanges, j.lastChange)
 		b.states = append(b.states, j.state)
 		b.Txn.Checks = append(b.Txn.Checks, j.row.check())
-		b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: j.row.key, Value: value})
+		b.Txn.Writes = append(b.Txn.Writes, writes...)
 	}
 	if limit > 1 {
 		c.addExpired(b)
@@ -134,8 +145,8 @@
 // is tried again after a back-off.
 func (c *Core) onInvalid(b *Batch) {
 	rows := b.rows()
-	if len(b.Txn.Writes) > 1 {
-		c.singleRows = len(b.Txn.Writes)
+	if n := len(rows) + len(b.expired); n > 1 {
+		c.singleRows = n
 		return
 	}
 	for _, row := range rows {
@@ -192,6 +203,7 @@
 	c.savedSamples = max(c.savedSamples, b.samples)
 	for i, j := range b.jobs {
 		j.durableChange = b.lastChanges[i]
+		j.parts = b.parts[i]
 		j.durableState = b.states[i]
 	}
 	c.acknowledgeResults()
--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -84,8 +84,9 @@
 		lastChange, durableChange uint64
 		durableState              State
 
-		// row is the row of the job's record.
-		row trackedRow
+		// row is the row of the job's record, and parts how many further rows it may have.
+		row   trackedRow
+		parts int
 	}
 
 	// occurrence is one execution of all steps of a job.
--- a/internal/region/large_record_test.go
+++ b/internal/region/large_record_test.go
@@ -92,3 +92,36 @@
 		t.Errorf("%d records written", records)
 	}
 }
+
+// TestRecordInParts guards against a record that is larger than a row since very many tasks of
+// a job save their progress. The next leader must know it.
+func TestRecordInParts(t *testing.T) {
+	for _, tasks := range []int{5_000, 20_000} {
+		h := newHarness(t)
+		h.join("a")
+		ids := h.runJobs(1, tasks, work.Checkpoint(strings.Repeat("c", 24)))
+		h.saveTo(40, func(txn table.Txn) bool {
+			size := 0
+			for _, w := range txn.Writes {
+				size += len(w.Key) + len(w.Value)*4/3
+			}
+			if entries := len(txn.Checks) + len(txn.Writes); size > maxCall || entries > 100 {
+				t.Errorf("a transaction has %d bytes and %d entries", size, entries)
+			}
+			return false
+		})
+		h.checkRows()
+		h.lead(2)
+		h.report("a", nil)
+		h.save()
+		starts := h.report("a", nil).Starts
+		if kept := starts[0].Checkpoint != ""; len(starts) != tasks || kept != (tasks == 5_000) {
+			t.Errorf("%d of %d tasks start, with checkpoint %t", len(starts), tasks, kept)
+		}
+		h.core.Cancel(h.now, ids[0])
+		h.save()
+		if rows, _ := h.table.Scan(context.Background(), region.RecordPrefix, "", 1000); len(rows) != 1 {
+			t.Errorf("%d rows left after the end of the job", len(rows))
+		}
+	}
+}
--- a/internal/region/progress.go
+++ b/internal/region/progress.go
@@ -17,10 +17,10 @@
 // progressMap is the stored form of Progress with more occurrences than are listed.
 type progressMap Progress
 
-// MarshalCBOR encodes the progress as a list of all opened occurrences if there are few,
-// or else as a map with the open ones.
+// MarshalCBOR encodes the progress as a list of all opened occurrences if there are few
+// and it has no further rows, or else as a map with the open ones.
 func (p Progress) MarshalCBOR() ([]byte, error) {
-	if p.Opened > maxListedOccurrences {
+	if p.Opened > maxListedOccurrences || p.Parts > 0 {
 		return cbor.Marshal(progressMap(p))
 	}
 	list := make([]OccurrenceRecord, p.Opened)
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -38,10 +38,12 @@
 	}
 
 	// Progress is the stored progress of the occurrences of a job. Opened is how many have
-	// been opened. Those below it that are not in Open are done.
+	// been opened. Those below it that are not in Open are done. If Parts is not 0, the
+	// progress is stored in this many further rows.
 	Progress struct {
 		Opened int                      `cbor:"1,keyasint"`
 		Open   map[int]OccurrenceRecord `cbor:"2,keyasint,omitempty"`
+		Parts  int                      `cbor:"3,keyasint,omitempty"`
 	}
 
 	// OccurrenceRecord is the stored progress of one occurrence. If Complete is set,
@@ -89,10 +91,11 @@
 	}
 	byJob := make(map[work.JobID]Record, len(records))
 	versions := make(map[work.JobID]table.Version, len(records))
+	records, parts := splitParts(records)
 	for _, row := range records {
-		var r Record
 		id := work.JobID(row.Key[len(RecordPrefix):])
-		if err := cbor.Unmarshal(row.Value, &r); err != nil {
+		r, err := decodeRecord(row, parts)
+		if err != nil {
 			c.log(LogEntry{Event: "record unreadable", Job: id, Outcome: err.Error(), Version: row.Version})
 			c.unreadable[id] = true
 			continue
@@ -106,6 +109,7 @@
 	for id, r := range byJob {
 		if j := c.jobs[id]; j != nil {
 			j.row.version = versions[id]
+			j.parts = r.Progress.Parts
 			c.restoreJob(now, j, r)
 		}
 	}
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -47,6 +47,10 @@
 		// Retention is how long a job's rows are kept after the job has ended.
 		Retention time.Duration
 
+		// RowBytes is the size of the value of a row in bytes up to which a record is
+		// stored in one row.
+		RowBytes int
+
 		// PlanInterval is the least time between two plans of the waiting tasks. What
 		// changes meanwhile is planned together.
 		PlanInterval time.Duration
@@ -156,7 +160,7 @@
 // once a later epoch has begun; initialVersion is the table's version at the
 // beginning.
 func New(now time.Time, epoch lease.Epoch, epochCheck table.Check, initialVersion table.Version, current *configuration.Configuration, options ...Option) *Core {
-	config := Config{HoldTime: 6 * time.Second, MaxOrdersAge: 1500 * time.Millisecond, RefusalBackoff: 300 * time.Millisecond, GangWait: 3 * time.Second, Retention: DefaultRetention}
+	config := Config{HoldTime: 6 * time.Second, MaxOrdersAge: 1500 * time.Millisecond, RefusalBackoff: 300 * time.Millisecond, GangWait: 3 * time.Second, Retention: DefaultRetention, RowBytes: DefaultRowBytes}
 	for _, option := range options {
 		option(&config)
 	}
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -90,6 +90,10 @@
 		// region.DefaultRetention.
 		Retention time.Duration
 
+		// RowBytes is the size up to which the value of a row may grow, 0 for
+		// region.DefaultRowBytes.
+		RowBytes int
+
 		// Processor is the CPU capacity that the gate may use, 0 if unknown. A gate
 		// that has much less than another one leads only if no other gate takes the
 		// lease.
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -137,7 +138,8 @@
 			continue
 		}
 		core := region.New(startedAt, l.epoch, l.epochCheck, l.epochCheck.Version, current,
-			region.WithHoldTime(l.gate.config.HoldTime), region.WithGangWait(l.gate.config.GangWait), region.WithRetention(l.gate.config.Retention), region.WithPlanInterval(planInterval))
+			region.WithHoldTime(l.gate.config.HoldTime), region.WithGangWait(l.gate.config.GangWait), region.WithRetention(l.gate.config.Retention), region.WithPlanInterval(planInterval),
+			region.WithRowBytes(cmp.Or(l.gate.config.RowBytes, region.DefaultRowBytes)))
 		core.SetLog(l.logEntry)
 		core.SetWallClockOffset(l.gate.wallClockOffset())
 		core.Restore(boottime.Now(), rowSets[0], rowSets[1], rowSets[2], rowSets[3], rowSets[4])
