Keep the run-time statistics within a row

The table then refuses every transaction that holds it, and the records in it with it (LOST).

Change: when they outgrow the row, an eighth of the queues is dropped until they fit: those first that are no longer in the configuration, then those with the fewest samples.

TestRunTimesOfManyQueues, 1,500 queues, before: a row of over 65,536 bytes.

--- a/internal/region/large_record_test.go
+++ b/internal/region/large_record_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/region"
@@ -125,3 +126,27 @@
 		}
 	}
 }
+
+// TestRunTimesOfManyQueues guards against run-time statistics that outgrow their row since
+// queues come and go. Those of a queue that is still there must stay.
+func TestRunTimesOfManyQueues(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	for n := range control.ResultID(1500) {
+		j := gpuJob(work.JobID(fmt.Sprintf("j%04d", n)), 1, 0)
+		if n > 0 {
+			j.Queue = work.QueueID(fmt.Sprintf("r-removed%04d", n))
+		}
+		h.submit(j)
+		h.report("a", nil)
+		h.now = h.now.Add(time.Second)
+		h.report("a", h.reportDone(n+1, j.ID))
+	}
+	h.now = h.now.Add(time.Minute)
+	h.report("a", nil)
+	h.save()
+	rows, err := h.table.Read(context.Background(), []table.Key{region.RunTimesKey})
+	if err != nil || len(rows) != 1 || len(rows[0].Value) > maxRow || !strings.Contains(string(rows[0].Value), string(queueID)) {
+		t.Errorf("%d rows, %v", len(rows), err)
+	}
+}
--- a/internal/region/run_times.go
+++ b/internal/region/run_times.go
@@ -1,7 +1,10 @@
 package region
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -34,6 +37,10 @@
 	// statsWriteInterval is the shortest time between two writes of the run-time
 	// statistics. If a leader fails, only the few samples of this time are lost.
 	statsWriteInterval = 2 * time.Second
+
+	// runTimesDropDivisor is the divisor of the number of queues that gives how many are
+	// dropped at a time when the statistics outgrow their row.
+	runTimesDropDivisor = 8
 )
 
 type (
@@ -162,6 +169,10 @@
 		return
 	}
 	value, err := cbor.Marshal(c.runTimes)
+	for err == nil && len(value) > c.config.RowBytes {
+		c.dropRunTimes(len(c.runTimes)/runTimesDropDivisor + 1)
+		value, err = cbor.Marshal(c.runTimes)
+	}
 	if err != nil {
 		c.log(LogEntry{Event: "paces not encoded", Outcome: err.Error()})
 		return
@@ -172,6 +183,26 @@
 	b.Txn.Writes = append(b.Txn.Writes, table.Write{Key: c.runTimesRow.key, Value: value})
 }
 
+// dropRunTimes drops the statistics of a number of queues, those first that have been removed
+// from the configuration, and then those with the fewest samples.
+func (c *Core) dropRunTimes(count int) {
+	queues := slices.Collect(maps.Keys(c.runTimes))
+	removed := func(id work.QueueID) bool {
+		return c.currentConfiguration == nil || c.currentConfiguration.Queue(id) == nil
+	}
+	slices.SortFunc(queues, func(a, b work.QueueID) int {
+		return cmp.Or(
+			compareBool(removed(b), removed(a)),
+			cmp.Compare(c.runTimes[a].RunTime.Count, c.runTimes[b].RunTime.Count),
+			cmp.Compare(a, b),
+		)
+	})
+	for _, id := range queues[:min(count, len(queues))] {
+		delete(c.runTimes, id)
+	}
+	c.log(LogEntry{Event: "paces dropped", Count: count})
+}
+
 // loadRunTimes loads the statistics that an earlier leader wrote.
 func (c *Core) loadRunTimes(row table.Row) {
 	if row.Key != RunTimesKey {
