Bound the size of the starts in one answer to an agent

With 2,500 tasks of 3.9 KB it is larger than the 8 MB that an agent reads, so that the agent gets no orders at all, and other runs there lapse.

Change: an answer holds starts of about 1 MiB; the rest follows once the agent reports what became of those. Until then it is not answered at once, so that repeated answers don't fill the link.

TestOrdersOfManyStarts before: "orders of bytes".

--- a/internal/region/large_record_test.go
+++ b/internal/region/large_record_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/region"
 	"github.com/lovageroad/lovageroad/internal/work"
@@ -35,8 +37,27 @@
 	}
 }
 
-// runJobs has an agent run a task of each of some jobs, with the checkpoint that a task of
-// each job has, and returns the jobs.
+// startAll has an agent confirm starts until it gets no more, and returns them.
+func (h *harness) startAll(agent control.AgentID) []control.Start {
+	h.t.Helper()
+	var starts []control.Start
+	var running []control.Task
+	for range 100 {
+		orders := h.report(agent, func(r *control.Report) { r.Tasks = running })
+		for _, s := range orders.Starts {
+			starts = append(starts, s)
+			running = append(running, control.Task{ID: s.Task, Run: s.Run, Phase: control.Running})
+		}
+		if len(orders.Starts) == 0 {
+			return starts
+		}
+	}
+	h.t.Fatal("the starts have no end")
+	return nil
+}
+
+// runJobs has an agent run the tasks of some jobs until they are stopped with a checkpoint,
+// and returns the jobs.
 func (h *harness) runJobs(jobs, tasks int, checkpoint work.Checkpoint) []work.JobID {
 	h.t.Helper()
 	var ids []work.JobID
@@ -47,7 +68,7 @@
 		h.submit(j)
 		ids = append(ids, j.ID)
 	}
-	for _, s := range h.report("a", nil).Starts {
+	for _, s := range h.startAll("a") {
 		results = append(results, control.Result{
 			ID: control.ResultID(len(results) + 1), Task: s.Task, Run: s.Run, Outcome: control.Stopped, Checkpoint: checkpoint,
 		})
@@ -113,9 +134,8 @@
 		})
 		h.checkRows()
 		h.lead(2)
-		h.report("a", nil)
-		h.save()
-		starts := h.report("a", nil).Starts
+		h.join("a")
+		starts := h.startAll("a")
 		if kept := starts[0].Checkpoint != ""; len(starts) != tasks || kept != (tasks == 5_000) {
 			t.Errorf("%d of %d tasks start, with checkpoint %t", len(starts), tasks, kept)
 		}
@@ -150,3 +170,20 @@
 		t.Errorf("%d rows, %v", len(rows), err)
 	}
 }
+
+// TestOrdersOfManyStarts guards against orders that are larger than an agent reads since a
+// job has very many tasks with a long spec. All of them must start in the end.
+func TestOrdersOfManyStarts(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	j := gpuJob("j1", 2_500, 0)
+	j.Steps[0].Need, j.Spec = work.Resources{Processor: 10, Memory: 20}, strings.Repeat("x", work.MaxSpecBytes)
+	h.submit(j)
+	value, err := cbor.Marshal(h.report("a", nil))
+	if err != nil || len(value) > control.MaxMessageBytes {
+		t.Errorf("orders of %d bytes, %v", len(value), err)
+	}
+	if starts := h.startAll("a"); len(starts) != 2_500 {
+		t.Errorf("%d of 2500 tasks start", len(starts))
+	}
+}
--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -18,6 +18,13 @@
 	// Config.MaxOrdersAge, to the network.
 	minReportWait = 600 * time.Millisecond
 	maxReportWait = time.Second
+
+	// maxStartBytes is the size of the starts in an answer above which no further one is
+	// added, far below the largest message that an agent reads (control.MaxMessageBytes).
+	maxStartBytes = 1 << 20
+
+	// startOverhead is the size of a start without its spec: its names and its checkpoint.
+	startOverhead = 200
 )
 
 // reportWait returns how long the answer to a report waits for new orders (long
@@ -59,6 +66,8 @@
 	if w.runner != nil {
 		orders.Runner = w.runner.ID
 	}
+	starting := 0
+	w.startsLeft = false
 	for _, id := range w.taskIDs() {
 		p := w.placements[id]
 		j, _, t := c.find(id)
@@ -66,7 +75,11 @@
 		switch {
 		case !wanted || t.stopping:
 			orders.Stops = append(orders.Stops, control.Stop{Task: id, Run: p.run})
-		case !p.reported:
+		case p.reported:
+		case starting >= maxStartBytes:
+			w.startsLeft = true
+		default:
+			starting += len(j.Job.Spec) + startOverhead
 			orders.Starts = append(orders.Starts, control.Start{Task: id, Run: p.run, Spec: j.Job.Spec, Checkpoint: t.checkpoint})
 			if p.sentSeq == 0 {
 				p.sentSeq = w.ordersSeq
--- a/internal/region/reconcile.go
+++ b/internal/region/reconcile.go
@@ -44,7 +44,10 @@
 	if p == nil || p.run != r.Run {
 		p = c.addUnordered(now, w, r)
 	}
-	p.reported = true
+	if !p.reported {
+		p.reported = true
+		w.onStartSettled()
+	}
 	j, s, t := c.find(r.ID)
 	if t == nil || t.worker != w || t.run != r.Run {
 		return
@@ -140,6 +143,7 @@
 // removePlacement records that a task no longer uses capacity of a worker.
 func (c *Core) removePlacement(w *worker, id work.TaskID) {
 	delete(w.placements, id)
+	w.onStartSettled()
 	if c.placementCount[id]--; c.placementCount[id] == 0 {
 		delete(c.placementCount, id)
 	}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -62,6 +62,10 @@
 		// agent.
 		ordersPending bool
 
+		// startsLeft says that the last orders left out starts, so that there are new orders
+		// once the agent reports what became of the others.
+		startsLeft bool
+
 		// failureStreak is the number of failures since a task last succeeded on
 		// the worker. No task starts there before coolDownUntil.
 		failureStreak int
@@ -108,6 +112,13 @@
 	w.ordersPending = true
 }
 
+// onStartSettled records that a start has been confirmed, or will not be.
+func (w *worker) onStartSettled() {
+	if w.startsLeft {
+		w.markOrdersPending()
+	}
+}
+
 // newWorker adds a worker whose hold starts now.
 func (c *Core) newWorker(now time.Time, id control.AgentID) *worker {
 	w := &worker{id: id, placements: make(map[work.TaskID]*placement), holdExpiry: now.Add(c.holdTimeout())}
