Don't acknowledge results to a runner that may have started again

What callers see: a task runs again after it was done (TWICE), or is started again after each failure without an end.

Cause: an acknowledgement is a number, and a runner that starts again under its name counts its results anew. The agent kept sending the number with each renewal until one was answered, also after renewals that nobody answered and after the runner had announced its end. The next incarnation took it, and dropped its own results up to that number before it had listed them; the agent saw the tasks gone.

Change: a renewal acknowledges only if the last one was answered by the incarnation that is known and this has not announced its end since. Otherwise the acknowledgement goes with the renewal after the next answer.

What remains: a runner that ends and starts again between an answer and the next renewal, within some 100 ms, still takes it; calls can't name an incarnation.

TestAcknowledgeOnce asked for the acknowledgement with each renewal until one is answered, which is this fault. It asks now that none goes with the renewal after one without an answer, that it is sent again after an answer, and once.

--- a/internal/runner/acknowledge_test.go
+++ b/internal/runner/acknowledge_test.go
@@ -23,14 +23,46 @@
 	acknowledge := must[runner.RenewLease](h)
 	second := must[runner.StartTask](h)
 	h.step(runner.StartResult{Call: second, Answer: runner.Accepted})
+	running := control.Task{ID: second.Start.Task, Run: 2, Phase: control.Running}
 	h.step(runner.RenewLeaseResult{Call: acknowledge, Answer: runner.NoAnswer})
 	h.wait(time.Second)
+	unanswered := must[runner.RenewLease](h)
+	h.sendList(unanswered, running)
 	repeated := must[runner.RenewLease](h)
-	if acknowledge.Acked != 57 || repeated.Acked != 57 {
-		t.Errorf("acknowledged %d, %d, want 57 until there is an answer", acknowledge.Acked, repeated.Acked)
+	if acknowledge.Acked != 57 || unanswered.Acked != 0 || repeated.Acked != 57 {
+		t.Errorf("acknowledged %d, %d, %d, want 57, none until the runner has answered, and 57", acknowledge.Acked, unanswered.Acked, repeated.Acked)
 	}
-	h.sendList(repeated, control.Task{ID: second.Start.Task, Run: 2, Phase: control.Running})
+	h.sendList(repeated, running)
 	if next := must[runner.RenewLease](h); next.Acked != 0 {
 		t.Errorf("acknowledged %d once more", next.Acked)
 	}
 }
+
+// TestNoAcknowledgementToSuccessor guards against an acknowledgement that reaches the runner
+// when it has started again, so that it drops results that nobody has seen.
+func TestNoAcknowledgementToSuccessor(t *testing.T) {
+	for name, trouble := range map[string]func(h *harness, r runner.RenewLease){
+		"no answer": func(h *harness, r runner.RenewLease) {
+			h.step(runner.RenewLeaseResult{Call: r, Answer: runner.NoAnswer})
+		},
+		"not listening": func(h *harness, r runner.RenewLease) {
+			h.step(runner.RenewLeaseResult{Call: r, Answer: runner.NotListening})
+		},
+		"announced end": func(h *harness, _ runner.RenewLease) { h.step(runner.Gone{ID: self}) },
+	} {
+		h := newHarness(t)
+		call := h.startFirst()
+		renewal := must[runner.RenewLease](h)
+		h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+		result := control.Result{ID: 57, Task: start(1).Task, Run: 1, Outcome: control.Done}
+		h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: 5000, Results: []control.Result{result}})
+		h.sendOrders(must[runner.Send](h), func(o *control.Orders) { o.Acked = 57 })
+		trouble(h, must[runner.RenewLease](h))
+		for range 20 {
+			if next, ok := find[runner.RenewLease](h); ok && next.Acked != 0 {
+				t.Errorf("%s: acknowledged %d to a runner that may have started again", name, next.Acked)
+			}
+			h.wait(50 * time.Millisecond)
+		}
+	}
+}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -107,7 +107,7 @@
 		return
 	}
 	c.log("runner left", "runner", e.ID.Name, "born", e.ID.Incarnation, "tasks", len(c.tasks))
-	c.departing = true
+	c.departing, c.answered = true, false
 	c.listRequest, c.nextRenewal = 0, time.Time{}
 }
 
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -16,6 +16,7 @@
 	if e.Call.Number == c.renewals {
 		c.renewing = false
 	}
+	c.answered = false
 	if e.Answer != NotListening {
 		c.refusedSince = time.Time{}
 	}
@@ -43,6 +44,7 @@
 	if c.successor != nil {
 		c.completeSuccession(now, e.Clock)
 	}
+	c.answered = true
 	c.readClock(now, e.Call.Sent, e.Clock)
 	c.lastAnswer, c.listedAt = now, now
 	if e.Call.Number == c.renewals {
@@ -144,7 +146,9 @@
 		wait = 0
 	}
 	until, acked := c.heldUntil, c.acked
-	if acked <= c.ackForwarded {
+	if acked <= c.ackForwarded || !c.answered {
+		// A runner that has started again counts its results anew. It would drop those up
+		// to the acknowledged one before it has listed them.
 		acked = 0
 	}
 	if now.Sub(c.lastAnswer) > c.config.AnswerTimeout {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -206,6 +206,11 @@
 		renewals uint64
 		renewing bool
 
+		// answered says that the last renewal was answered by the incarnation that it was
+		// meant for, and that this has not announced its end since. Otherwise another one
+		// may take the next renewal.
+		answered bool
+
 		// listRequest is the number of the last renewal, or 0 if there was none or
 		// a start has had no answer since: then the next renewal does not wait for
 		// the answer to the last.
@@ -320,6 +325,7 @@
 	c.listComplete, c.runnerGone, c.departing, c.restarted = false, false, false, false
 	c.heartbeatSeq, c.heldUntil, c.requestedUntil, c.heldSince = 0, 0, 0, time.Time{}
 	c.renewing, c.listRequest, c.refusedSince = false, 0, time.Time{}
+	c.answered = false
 	c.acked, c.ackForwarded = 0, 0
 	c.tasks = make(map[runKey]*task)
 	c.results = make(map[control.ResultID]control.Result)
