Let a task wait again when an earlier run of it turns up at its worker

What callers see: an accepted job has nothing running for ever though there is room (LOST), and the leader logs nothing more of it.

Cause: an agent lists a run that this leader has given up, at the worker where it has ordered the next run of the same task: a start that was carried out late, by a runner that has started again. The leader put the stray run in the place of the ordered one and stopped it, but the task still counted as placed with the ordered run. That run is in no orders any more, and nothing makes the task wait again as long as the worker is there.

Change: the ordered run is removed as any run that will not go on is, so that the task waits until the stray one has ended. A task that was placed is not adopted, as before.

TestStrayRunAtTheSameWorker before: "the task does not start again".

--- a/internal/region/reconcile.go
+++ b/internal/region/reconcile.go
@@ -82,10 +82,11 @@
 	if j != nil && r.ID.Step < len(j.Job.Steps) {
 		p.request = j.Job.Steps[r.ID.Step].Request()
 	}
-	if w.placements[r.ID] != nil {
-		c.removePlacement(w, r.ID)
+	waits := t != nil && t.worker == nil
+	if other := w.placements[r.ID]; other != nil {
+		c.removeRun(now, w, r.ID, other.run, "another run is there")
 	}
-	adopt := t != nil && !j.hasEnded() && !t.done && t.worker == nil && r.Run > t.run && c.placementCount[r.ID] == 0
+	adopt := waits && !j.hasEnded() && !t.done && r.Run > t.run && c.placementCount[r.ID] == 0
 	c.addPlacement(w, r.ID, p)
 	if !adopt {
 		c.log(LogEntry{Event: "stray task", Task: r.ID, Run: r.Run, Worker: w.id, Outcome: strayReason(j, t, r), Detail: c.otherRuns(w, r.ID)})
