Give up the tasks of an agent that reports but applies no orders

Cause: the agent learns from the runner's answers that it has started again, and waits for a heartbeat of the new incarnation to describe it. Until then it lists no tasks, applies no starts and renews no lease, but it reports, with the former runner and its tasks, so that the leader extends its hold with each answer. An agent that gets each answer later than it accepts one is held in the same way.

Change: the leader notes when the orders that an agent has applied last grew. A worker that was lost gets no start until its agent has applied orders.

Not shown: which event kept the heartbeats away on the users' machines.

TestAgentThatAppliesNothing before: "j1.0.0.0 starts there" at the stuck agent, in both cases.

--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -19,6 +19,11 @@
 	minReportWait = 600 * time.Millisecond
 	maxReportWait = time.Second
 
+	// orderTimeout is how long an agent that reports may apply no orders before its hold is
+	// no longer extended: more than two heartbeats of a runner, which an agent waits for
+	// if its runner has started again.
+	orderTimeout = 4 * time.Second
+
 	// maxStartBytes is the size of the starts in an answer above which no further one is
 	// added, far below the largest message that an agent reads (control.MaxMessageBytes).
 	maxStartBytes = 1 << 20
@@ -54,10 +59,11 @@
 		return c.epochOnly(fence)
 	}
 	w.ordersPending = false
-	if w.awaitingReport || w.runnerUnknown || w.runnerGone {
+	if w.awaitingReport || w.runnerUnknown || w.runnerGone || w.unresponsive(now) {
 		// Tasks must not be held for longer than this leader waits for them. It
 		// does not wait longer for tasks that it doesn't know of, for an agent
-		// that can't renew the runner's lease, nor for a runner that is gone.
+		// that can't renew the runner's lease or doesn't apply its orders, nor for a
+		// runner that is gone.
 		return c.epochOnly(fence)
 	}
 	w.holdExpiry = now.Add(c.holdTimeout())
@@ -97,7 +103,7 @@
 
 // schedulable reports whether tasks may start on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return !w.lost && w.listComplete && !w.runnerGone && w.hasRow() && !w.writingRow && !w.row.versionUnknown && !w.runner.Draining && !now.Before(w.coolDownUntil)
+	return !w.lost && !w.unproven && w.listComplete && !w.runnerGone && w.hasRow() && !w.writingRow && !w.row.versionUnknown && !w.runner.Draining && !now.Before(w.coolDownUntil)
 }
 
 // planView returns the worker as the planner needs it, without the tasks on it.
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -390,7 +390,9 @@
 	h.submit(gpuJob("j1", 1, 8))
 	task := taskOf("j1", 0)
 	first := h.report("a", nil).Starts[0].Run
-	h.report("a", func(r *control.Report) { r.Refusals = []control.Refusal{{Task: task, Run: first, Reason: "unanswered"}} })
+	h.report("a", func(r *control.Report) {
+		r.Refusals = []control.Refusal{{Task: task, Run: first, Reason: "unanswered"}}
+	})
 	h.now = h.now.Add(time.Second)
 	h.report("a", nil)
 	stray := func(r *control.Report) { r.Tasks = []control.Task{{ID: task, Run: first, Phase: control.Running}} }
--- /dev/null
+++ b/internal/region/unresponsive_test.go
@@ -0,0 +1,59 @@
+package region_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+)
+
+// finish is how long after the end of the traffic the users ask for their jobs.
+const finish = 14 * time.Second
+
+// TestAgentThatAppliesNothing guards against tasks that are held for ever at an agent that
+// reports, but applies no orders and so renews no lease.
+func TestAgentThatAppliesNothing(t *testing.T) {
+	for name, change := range map[string]func(*control.Report){
+		"waits for a runner that has started again": func(r *control.Report) { r.Complete = false },
+		"gets each answer too late":                 func(*control.Report) {},
+	} {
+		h := newHarness(t)
+		h.join("a")
+		h.submit(gpuJob("j1", 1, 8))
+		start := h.report("a", nil).Starts[0]
+		applied := h.ordersSeq["a"]
+		stuck := func(r *control.Report) {
+			r.Applied = applied
+			r.Tasks = []control.Task{{ID: start.Task, Run: start.Run, Phase: control.Running}}
+			change(r)
+		}
+		h.report("a", stuck)
+		h.join("b")
+		began, moved := h.now, false
+		for h.now.Sub(began) < finish && !moved {
+			h.now = h.now.Add(200 * time.Millisecond)
+			h.report("a", stuck)
+			h.save()
+			moved = len(h.report("b", nil).Starts) > 0
+		}
+		if !moved {
+			t.Errorf("agent %s: its task does not start elsewhere", name)
+		}
+		h.submit(gpuJob("j2", 1, 8))
+		for range 10 {
+			h.now = h.now.Add(200 * time.Millisecond)
+			for _, s := range h.report("a", stuck).Starts {
+				t.Errorf("agent %s: %v starts there", name, s.Task)
+			}
+		}
+		again := false
+		for began = h.now; h.now.Sub(began) < finish && !again; h.now = h.now.Add(200 * time.Millisecond) {
+			orders := h.report("a", func(r *control.Report) { r.Applied = applied })
+			h.save()
+			applied, again = max(applied, orders.Seq), len(orders.Starts) == 1
+		}
+		if !again {
+			t.Errorf("agent %s: nothing starts there once it applies orders again", name)
+		}
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -48,6 +48,13 @@
 		holdExpiry time.Time
 		lost       bool
 
+		// applied are the last orders that the agent's present incarnation has applied, and
+		// appliedAt is when it reported that. unproven says that it was lost and has not
+		// applied any orders since.
+		applied   control.OrdersSeq
+		appliedAt time.Time
+		unproven  bool
+
 		// runnerUnknown says that the agent doesn't know its runner, so that it
 		// can't renew the leases of the tasks there.
 		runnerUnknown bool
@@ -175,21 +182,40 @@
 		return false
 	case fence > w.fence:
 		c.logReport(now, "agent joined", w, r, "")
-		w.startIncarnation(fence)
+		w.startIncarnation(now, fence)
 	}
 	w.reportSeq = r.Seq
 	if w.runnerUnknown && r.Runner != nil || w.runnerGone && !r.RunnerGone {
 		w.markOrdersPending()
 	}
 	w.runnerUnknown = r.Runner == nil
+	c.noteApplied(now, w, r)
 	if w.lost && !w.runnerUnknown && !r.RunnerGone {
-		w.lost = false
+		w.lost, w.appliedAt = false, now
+		w.markOrdersPending()
 		c.log(LogEntry{Event: "worker back", Worker: w.id})
 	}
 	c.reconcile(now, w, r)
 	return true
 }
 
+// noteApplied records which orders the agent has applied.
+func (c *Core) noteApplied(now time.Time, w *worker, r control.Report) {
+	if r.Applied > w.applied && w.unproven {
+		w.unproven = false
+		c.replan = true
+	}
+	if r.Applied > w.applied || r.Complete && !w.listComplete {
+		w.applied, w.appliedAt = r.Applied, now
+	}
+}
+
+// unresponsive reports whether the agent has applied no orders for so long, though it
+// reports, that its tasks are given up: it does not renew their leases.
+func (w *worker) unresponsive(now time.Time) bool {
+	return w.ordersSeq > 0 && now.Sub(w.appliedAt) > orderTimeout
+}
+
 // hear returns the number of an incarnation of the agent, and whether this leader
 // hears from it for the first time.
 func (w *worker) hear(incarnation control.Incarnation) (fence uint16, first bool) {
@@ -210,10 +236,10 @@
 
 // startIncarnation records that the agent was started again. The new process has
 // received no orders.
-func (w *worker) startIncarnation(fence uint16) {
+func (w *worker) startIncarnation(now time.Time, fence uint16) {
 	w.fence = fence
 	w.listComplete = false
-	w.ordersSeq = 0
+	w.ordersSeq, w.applied, w.appliedAt = 0, 0, now
 	for _, p := range w.placements {
 		p.sentSeq = 0
 	}
@@ -266,7 +292,7 @@
 
 // markLost gives up a worker whose hold has expired, and all its tasks.
 func (c *Core) markLost(now time.Time, w *worker, reason string) {
-	w.lost = true
+	w.lost, w.unproven = true, true
 	w.listComplete, w.awaitingReport = false, false
 	c.log(LogEntry{Event: "worker lost", Worker: w.id, Outcome: reason, Count: len(w.placements)})
 	c.removeAllRuns(now, w)
