Free the tasks of a runner that has started again before its heartbeat

Its runner answers as another incarnation, and the agent holds the former one's tasks until a heartbeat describes the new one: 1.5 s at the usual interval, for ever without one.

Why it waited: a start that was meant for the former incarnation may have reached the new one. A list under a higher fencing token settles that, and each answer to a renewal is a list.

Change: the agent raises its token at the first answer of another incarnation. Once one that was asked for under this token lists none of its tasks, it reports that nothing runs there. If a late start did reach the new incarnation, its task is listed and held until its lease, which is not renewed, has ended. Nothing starts there before the heartbeat, as before.

TestRestartAfterClockStep now expects the report that the former incarnation is gone, and answers it; what it asked for before it still asks for. TestRestartWithoutHeartbeat before: "token of the next list, want above", and no report.

--- a/internal/runner/clock_step_test.go
+++ b/internal/runner/clock_step_test.go
@@ -17,6 +17,11 @@
 	h.step(runner.RenewLeaseResult{Call: must[runner.RenewLease](h), Answer: runner.OtherIncarnation, Clock: 150})
 	h.wait(300 * time.Millisecond)
 	h.step(runner.RenewLeaseResult{Call: must[runner.RenewLease](h), Answer: runner.OtherIncarnation, Clock: 450})
+	gone := must[runner.Send](h)
+	if !gone.Report.RunnerGone {
+		t.Errorf("report %+v, want that the former incarnation is gone", gone.Report)
+	}
+	h.sendOrders(gone, nil)
 	h.heartbeatOf(self)
 	list := must[runner.RenewLease](h)
 	if list.Runner != self {
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/control"
@@ -84,16 +85,31 @@
 	c.dropTasks()
 }
 
-// onOtherIncarnation records that the runner was started again under its name. The
+// onOtherIncarnation records that the runner was started again under its name, and that
+// nothing of the former incarnation runs any more once the present one has listed none of
+// its tasks under a fencing token that is higher than those of all starts before. The
 // agent waits for the new incarnation's heartbeat.
-func (c *Core) onOtherIncarnation(now time.Time, call RenewLease) {
+func (c *Core) onOtherIncarnation(now time.Time, e RenewLeaseResult) {
 	c.lastAnswer, c.nextRenewal = now, now.Add(renewalRetry)
+	if c.runnerGone && c.successor == nil {
+		return
+	}
 	if c.listComplete || c.successor != nil {
-		c.log("runner started again", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number)
+		c.log("runner started again", "runner", e.Call.Runner.Name, "born", e.Call.Runner.Incarnation, "tasks", len(c.tasks), "list", e.Call.Number)
 		c.reportDue = true
+		c.unansweredStarts++
 	}
 	c.successor, c.restarted = nil, true
 	c.requestNewList()
+	if e.Call.Token == c.nextToken() && !e.Partial && !c.listsTask(e.Tasks) {
+		c.log("runner ended", "runner", e.Call.Runner.Name, "born", e.Call.Runner.Incarnation, "tasks", len(c.tasks), "list", e.Call.Number)
+		c.dropTasks()
+	}
+}
+
+// listsTask reports whether a list contains a task that the agent has.
+func (c *Core) listsTask(list []control.Task) bool {
+	return slices.ContainsFunc(list, func(t control.Task) bool { return c.tasks[runKey{t.ID, t.Run}] != nil })
 }
 
 // onGone handles the departure of a runner. A departure that was delayed may be that of
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -180,3 +180,27 @@
 		t.Errorf("list requested with token %d after a start with token %d", list.Token, call.Token)
 	}
 }
+
+// TestRestartWithoutHeartbeat guards against tasks that are held for a runner that has started
+// again and sends no heartbeat. They are held only as long as a late start may have reached it.
+func TestRestartWithoutHeartbeat(t *testing.T) {
+	h := newHarness(t)
+	call := h.startFirst()
+	first := must[runner.RenewLease](h)
+	h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+	h.step(runner.RenewLeaseResult{Call: first, Answer: runner.OtherIncarnation, Clock: 100})
+	h.checkHeld("first answer of the next incarnation")
+	h.wait(300 * time.Millisecond)
+	second := must[runner.RenewLease](h)
+	if second.Token <= first.Token {
+		t.Errorf("token %d of the next list, want above %d", second.Token, first.Token)
+	}
+	listed := control.Task{ID: start(1).Task, Run: 1, Phase: control.Running}
+	h.step(runner.RenewLeaseResult{Call: second, Answer: runner.OtherIncarnation, Clock: 400, Tasks: []control.Task{listed}})
+	h.checkHeld("list with the task")
+	h.wait(300 * time.Millisecond)
+	h.step(runner.RenewLeaseResult{Call: must[runner.RenewLease](h), Answer: runner.OtherIncarnation, Clock: 700})
+	if send, ok := find[runner.Send](h); !ok || !send.Report.RunnerGone || len(send.Report.Tasks) != 0 {
+		t.Errorf("report %+v, want that nothing runs there", send.Report)
+	}
+}
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -26,7 +26,7 @@
 			c.applyList(now, e)
 		}
 	case OtherIncarnation:
-		c.onOtherIncarnation(now, e.Call)
+		c.onOtherIncarnation(now, e)
 	case OtherRunner:
 		c.onOtherRunner(now, e.Call)
 	case Unreachable:
