Remember a restart also for a runner that was given up

A heartbeat of the new incarnation with an earlier start time, after a step of the wall clock, was ignored then, and the runner stayed unused.

TestRestartOfLostRunnerAfterClockStep before: no RenewLease for the new incarnation.

--- a/internal/runner/clock_step_test.go
+++ b/internal/runner/clock_step_test.go
@@ -69,3 +69,26 @@
 		t.Errorf("the lease is not renewed: %+v", renewal)
 	}
 }
+
+// TestRestartOfLostRunnerAfterClockStep guards against a runner that stays unused since it was
+// given up before it started again with an earlier start time.
+func TestRestartOfLostRunnerAfterClockStep(t *testing.T) {
+	h := newHarness(t)
+	h.heartbeatOf(reborn)
+	h.sendOrders(must[runner.Send](h), nil)
+	h.listFrom(must[runner.RenewLease](h), control.Task{ID: start(1).Task, Run: 1, Phase: control.Running})
+	renewal := must[runner.RenewLease](h)
+	h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.NotListening})
+	for range 3 {
+		h.wait(300 * time.Millisecond)
+		if renewal, ok := find[runner.RenewLease](h); ok {
+			h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.NotListening})
+		}
+	}
+	h.wait(300 * time.Millisecond)
+	h.step(runner.RenewLeaseResult{Call: must[runner.RenewLease](h), Answer: runner.OtherIncarnation, Clock: 10})
+	h.heartbeatOf(self)
+	if list := must[runner.RenewLease](h); list.Runner != self {
+		t.Errorf("list requested of %+v, want %+v", list.Runner, self)
+	}
+}
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -90,7 +90,7 @@
 // its tasks under a fencing token that is higher than those of all starts before. The
 // agent waits for the new incarnation's heartbeat.
 func (c *Core) onOtherIncarnation(now time.Time, e RenewLeaseResult) {
-	c.lastAnswer, c.nextRenewal = now, now.Add(renewalRetry)
+	c.lastAnswer, c.nextRenewal, c.restarted = now, now.Add(renewalRetry), true
 	if c.runnerGone && c.successor == nil {
 		return
 	}
@@ -99,7 +99,7 @@
 		c.reportDue = true
 		c.unansweredStarts++
 	}
-	c.successor, c.restarted = nil, true
+	c.successor = nil
 	c.requestNewList()
 	if e.Call.Token == c.nextToken() && !e.Partial && !c.listsTask(e.Tasks) {
 		c.log("runner ended", "runner", e.Call.Runner.Name, "born", e.Call.Runner.Incarnation, "tasks", len(c.tasks), "list", e.Call.Number)
