--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -271,20 +271,20 @@
 	if j.hasEnded() {
 		return
 	}
-	waiting := 0
+	unfinished := 0
 	for _, o := range j.occurrences {
 		o.advance(now)
 		if !o.done {
-			waiting++
+			unfinished++
 		}
 	}
 	j.occurrences = slices.DeleteFunc(j.occurrences, func(o *occurrence) bool { return o.done && !o.hasRuns() })
-	for j.opened < j.Job.Occurrences() && waiting < j.maxOpen() && !c.due(j, j.opened).After(now) {
+	for j.opened < j.Job.Occurrences() && unfinished < j.maxOpen() && !c.due(j, j.opened).After(now) {
 		c.open(j).advance(now)
-		waiting++
+		unfinished++
 		c.replan = true
 	}
-	if waiting == 0 && j.opened == j.Job.Occurrences() {
+	if unfinished == 0 && j.opened == j.Job.Occurrences() {
 		c.finish(now, j, Completed)
 	}
 }
@@ -303,7 +303,7 @@
 	for i := range j.Job.Steps {
 		tasks += j.Job.Steps[i].Count
 	}
-	return max(min(maxOpenOccurrences, work.MaxTasks/tasks), 1)
+	return max(min(maxOpenOccurrences, work.MaxTasks/max(tasks, 1)), 1)
 }
 
 // occurrence returns an open occurrence, or nil if the one with the number is not open.
