Count orders that were given, not the time, before an agent is given up

Change: an agent is given up when it has applied none of five orders or more, given over more than 4 s.

TestAgentAfterSilence before: the answer has no orders.

--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -21,8 +21,10 @@
 
 	// orderTimeout is how long an agent that reports may apply no orders before its hold is
 	// no longer extended: more than two heartbeats of a runner, which an agent waits for
-	// if its runner has started again.
+	// if its runner has started again. maxUnapplied is how many orders it must have got
+	// in that time: more than an agent has reports in flight.
 	orderTimeout = 4 * time.Second
+	maxUnapplied = 5
 
 	// maxStartBytes is the size of the starts in an answer above which no further one is
 	// added, far below the largest message that an agent reads (control.MaxMessageBytes).
@@ -59,7 +61,7 @@
 		return c.epochOnly(fence)
 	}
 	w.ordersPending = false
-	if w.awaitingReport || w.runnerUnknown || w.runnerGone || w.unresponsive(now) {
+	if w.awaitingReport || w.runnerUnknown || w.runnerGone || w.appliesNothing(now) {
 		// Tasks must not be held for longer than this leader waits for them. It
 		// does not wait longer for tasks that it doesn't know of, for an agent
 		// that can't renew the runner's lease or doesn't apply its orders, nor for a
@@ -68,6 +70,7 @@
 	}
 	w.holdExpiry = now.Add(c.holdTimeout())
 	w.ordersSeq++
+	w.countUnapplied(now)
 	orders := control.Orders{Leads: true, Epoch: c.epoch, Seq: w.ordersSeq, Fence: w.fence, Acked: w.lastAcknowledged, ReportWait: c.reportWait()}
 	if w.runner != nil {
 		orders.Runner = w.runner.ID
--- a/internal/region/unresponsive_test.go
+++ b/internal/region/unresponsive_test.go
@@ -57,3 +57,22 @@
 		}
 	}
 }
+
+// TestAgentAfterSilence guards against an agent that is given up since its leader gave no
+// orders for a while, and the last ones before that were lost.
+func TestAgentAfterSilence(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("j1", 1, 8))
+	start := h.report("a", nil).Starts[0]
+	applied := h.ordersSeq["a"]
+	running := func(r *control.Report) {
+		r.Applied = applied
+		r.Tasks = []control.Task{{ID: start.Task, Run: start.Run, Phase: control.Running}}
+	}
+	h.report("a", running)
+	h.now = h.now.Add(5 * time.Second)
+	if orders := h.report("a", running); orders.Seq == 0 {
+		t.Errorf("answer %+v, want one that extends the hold", orders)
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -48,12 +48,14 @@
 		holdExpiry time.Time
 		lost       bool
 
-		// applied are the last orders that the agent's present incarnation has applied, and
-		// appliedAt is when it reported that. unproven says that it was lost and has not
-		// applied any orders since.
-		applied   control.OrdersSeq
-		appliedAt time.Time
-		unproven  bool
+		// applied are the last orders that the agent's present incarnation has applied.
+		// unapplied counts the answers with orders since it reported that, of which the
+		// first was given at unappliedSince. unproven says that the agent was lost and has
+		// not applied any orders since.
+		applied        control.OrdersSeq
+		unapplied      int
+		unappliedSince time.Time
+		unproven       bool
 
 		// runnerUnknown says that the agent doesn't know its runner, so that it
 		// can't renew the leases of the tasks there.
@@ -182,16 +184,16 @@
 		return false
 	case fence > w.fence:
 		c.logReport(now, "agent joined", w, r, "")
-		w.startIncarnation(now, fence)
+		w.startIncarnation(fence)
 	}
 	w.reportSeq = r.Seq
 	if w.runnerUnknown && r.Runner != nil || w.runnerGone && !r.RunnerGone {
 		w.markOrdersPending()
 	}
 	w.runnerUnknown = r.Runner == nil
-	c.noteApplied(now, w, r)
+	c.noteApplied(w, r)
 	if w.lost && !w.runnerUnknown && !r.RunnerGone {
-		w.lost, w.appliedAt = false, now
+		w.lost, w.unapplied = false, 0
 		w.markOrdersPending()
 		c.log(LogEntry{Event: "worker back", Worker: w.id})
 	}
@@ -200,20 +202,28 @@
 }
 
 // noteApplied records which orders the agent has applied.
-func (c *Core) noteApplied(now time.Time, w *worker, r control.Report) {
+func (c *Core) noteApplied(w *worker, r control.Report) {
 	if r.Applied > w.applied && w.unproven {
 		w.unproven = false
 		c.replan = true
 	}
 	if r.Applied > w.applied || r.Complete && !w.listComplete {
-		w.applied, w.appliedAt = r.Applied, now
+		w.applied, w.unapplied = r.Applied, 0
 	}
 }
 
-// unresponsive reports whether the agent has applied no orders for so long, though it
-// reports, that its tasks are given up: it does not renew their leases.
-func (w *worker) unresponsive(now time.Time) bool {
-	return w.ordersSeq > 0 && now.Sub(w.appliedAt) > orderTimeout
+// countUnapplied counts an answer with orders.
+func (w *worker) countUnapplied(now time.Time) {
+	if w.unapplied == 0 {
+		w.unappliedSince = now
+	}
+	w.unapplied++
+}
+
+// appliesNothing reports whether the agent has applied none of many orders for so long
+// that its tasks are given up: it does not renew their leases.
+func (w *worker) appliesNothing(now time.Time) bool {
+	return w.unapplied >= maxUnapplied && now.Sub(w.unappliedSince) > orderTimeout
 }
 
 // hear returns the number of an incarnation of the agent, and whether this leader
@@ -236,10 +246,10 @@
 
 // startIncarnation records that the agent was started again. The new process has
 // received no orders.
-func (w *worker) startIncarnation(now time.Time, fence uint16) {
+func (w *worker) startIncarnation(fence uint16) {
 	w.fence = fence
 	w.listComplete = false
-	w.ordersSeq, w.applied, w.appliedAt = 0, 0, now
+	w.ordersSeq, w.applied, w.unapplied = 0, 0, 0
 	for _, p := range w.placements {
 		p.sentSeq = 0
 	}
