Survive a SIGHUP while a role starts or drains

Cause: without a handler SIGHUP ends a process. The roles handled it from when they served until they began to drain.

So the fault is fixed for the time of draining and narrowed for the start; until the Go runtime runs the command, after some 4 ms here, SIGHUP still ends the process. The platform starts it again.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -31,6 +33,9 @@
 	return &cli.Command{
 		Name: name, Usage: usage,
 		Action: func(ctx context.Context, _ *cli.Command) error {
+			// Without a handler SIGHUP ends the process. The role handles it only from when
+			// it serves until it drains.
+			signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 			writer := logs.NewWriter(os.Stdout, time.Now)
 			defer writer.Close()
 			klog.LogToStderr(false)
