Check the step of a reported task before its request is looked up

A report with a negative step would have ended the leader since a stray run is counted with the request of its step. No agent sends one; found in reading the diff.

--- a/internal/region/reconcile.go
+++ b/internal/region/reconcile.go
@@ -79,7 +79,7 @@
 	c.addReported(now, r.ID)
 	j, _, t := c.find(r.ID)
 	p := &placement{run: r.Run, orphaned: true}
-	if j != nil && r.ID.Step < len(j.Job.Steps) {
+	if j != nil && r.ID.Step >= 0 && r.ID.Step < len(j.Job.Steps) {
 		p.request = j.Job.Steps[r.ID.Step].Request()
 	}
 	waits := t != nil && t.worker == nil
