--- a/internal/command/hangup_test.go
+++ b/internal/command/hangup_test.go
@@ -11,7 +11,6 @@
 // TestHangupOutsideService guards against a process that SIGHUP ends while its role starts or
 // drains. Without the fix it ends this test's process.
 func TestHangupOutsideService(t *testing.T) {
-	t.Setenv("LOVAGEROAD_BOOT", t.TempDir())
 	if err := command.New().Run(context.Background(), []string{"lovageroad", "serve", "agent"}); err == nil {
 		t.Fatal("no error without a settings file")
 	}
