Review case 9: a leader misses a manifest that comes while it takes over

The manifest changes while the new leader builds its state from the store. From then on it plans with the old version, and jobs are run by the old service.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,8 +38,8 @@
 		"front-machines-replaced": frontMachinesReplaced,
 		"takeover-on-slow-link":   takeoverOnSlowLink,
 		"late-job-after-cancel":   lateJobAfterCancel,
-		"data-rack-gone":          dataRackGone,
 		"runner-clock-set-back":   runnerClockSetBack,
+		"manifest-in-takeover":    manifestInTakeover,
 	}
 )
 
@@ -216,29 +218,14 @@
 		return errors.New("the job could not be cancelled")
 	}
 	time.Sleep(late + settleTime)
-	at, started := w.record.firstStart(job)
-	if !started || at.Sub(cancelled) <= cancelTime {
+	start, started := w.record.firstStart(job)
+	if !started || start.at.Sub(cancelled) <= cancelTime {
 		return nil
 	}
-	w.record.add("a work item started %s after the answer to the cancelling", at.Sub(cancelled).Round(time.Millisecond))
+	w.record.add("a work item started %s after the answer to the cancelling", start.at.Sub(cancelled).Round(time.Millisecond))
 	return errBroken
 }
 
-// dataRackGone loses the only runner of a rack for good, and hands in jobs whose data is in that
-// rack.
-func dataRackGone(w *world, trouble bool) error {
-	if err := w.prepare([]int{1, 2}, []int{11, 12, 13, 14, 15, 16, 17, 18}); err != nil {
-		return err
-	}
-	if trouble {
-		w.runners[0].crash()
-		time.Sleep(settleTime)
-	}
-	near := smallStep
-	near.Affinity, near.Estimate = w.runners[0].rack, (2 * time.Minute).Milliseconds()
-	return w.checkStarted([][]byte{jobBody(2*time.Second, 0, near)}, 20*time.Second)
-}
-
 // runnerClockSetBack crashes a runner soon after its start. The next one starts after the time of
 // day was set back.
 func runnerClockSetBack(w *world, trouble bool) error {
@@ -253,7 +240,7 @@
 	restart := func(n int, born time.Time) error {
 		w.runners[0].crash()
 		time.Sleep(downtime)
-		r, err := startRunner(w.record, runnerName(n), w.runners[0].rack, w.address(a.machine, appPort), w.address(a.machine, controlPort), born.Add(downtime))
+		r, err := startRunner(w.record, runnerName(n), pool, w.runners[0].rack, w.address(a.machine, appPort), w.address(a.machine, controlPort), born.Add(downtime))
 		if err == nil {
 			w.runners[0] = r
 		}
@@ -274,6 +261,100 @@
 	return w.checkStarted(repeated(jobBody(500*time.Millisecond, 0, only), 3), 20*time.Second)
 }
 
+// manifestInTakeover changes the manifest while a new leader takes over. From then on the queue is
+// run by another service.
+func manifestInTakeover(w *world, trouble bool) error {
+	const (
+		jobCount   = 3300
+		submitters = 8
+
+		// decodeTime is about the time that the new leader takes to decode what it has read.
+		decodeTime = 10 * time.Millisecond
+	)
+	if err := w.prepare([]int{1, 2}, []int{11, 12}); err != nil {
+		return err
+	}
+	if err := w.startAgents(13); err != nil {
+		return err
+	}
+	a := w.agents[2]
+	if _, err := startRunner(w.record, runnerName(2), secondPool, "r1-9", w.address(a.machine, appPort), w.address(a.machine, controlPort), time.Now()); err != nil {
+		return err
+	}
+	accepted := w.submitMany(jobCount, submitters, jobBody(10*time.Millisecond, 0, smallStep))
+	rows, size := w.store.count("job")
+	w.record.add("%d of %d jobs accepted; the store has %d jobs of %d bytes", accepted, jobCount, rows, size)
+	time.Sleep(settleTime)
+	leader := w.leader()
+	if leader == nil {
+		return errors.New("no gate holds the lease")
+	}
+	w.record.add("%s leads", leader.node)
+	acknowledged := make(chan error, 1)
+	var once sync.Once
+	change := func() { acknowledged <- w.putManifest(8, secondPool) }
+	if trouble {
+		w.store.mu.Lock()
+		w.store.scanned = func(table string) {
+			if table == "job" {
+				once.Do(func() { time.AfterFunc(decodeTime, change) })
+			}
+		}
+		w.store.mu.Unlock()
+		w.removeGate(leader)
+	} else {
+		change()
+	}
+	select {
+	case err := <-acknowledged:
+		if err != nil {
+			return err
+		}
+	case <-time.After(settleTime):
+		return errors.New("no new leader")
+	}
+	time.Sleep(settleTime)
+	broken := false
+	for range 5 {
+		job := w.newJob()
+		if !w.submit(job, jobBody(100*time.Millisecond, 0, smallStep)) || !w.awaitStart(job, settleTime) {
+			return errors.New("a job was not accepted, or has not started")
+		}
+		start, _ := w.record.firstStart(job)
+		broken = broken || start.pool != secondPool
+		time.Sleep(time.Second)
+	}
+	if broken {
+		w.record.add("jobs sent 10 s after the change and later were run by the old service")
+		return errBroken
+	}
+	return nil
+}
+
+// submitMany hands in jobs from several clients at a time and returns how many were accepted.
+func (w *world) submitMany(count, clients int, body []byte) int {
+	jobs := make(chan string, count)
+	for range count {
+		jobs <- w.newJob()
+	}
+	close(jobs)
+	var (
+		accepted atomic.Int64
+		running  sync.WaitGroup
+	)
+	for range clients {
+		running.Go(func() {
+			for job := range jobs {
+				if w.submit(job, body) {
+					accepted.Add(1)
+				}
+			}
+		})
+	}
+	running.Wait()
+	return int(accepted.Load())
+}
+
 // logs copies the logs of the processes to a folder, for a look at them.
 func (w *world) logs(folder string) error {
 	files, err := filepath.Glob(filepath.Join(w.folder, "*.log"))
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -30,6 +30,7 @@
 	// with which its spec begins.
 	runner struct {
 		id, rack, control string
+		pool              string
 		record            *record
 		born              int64
 		began             time.Time
@@ -78,13 +79,13 @@
 
 // startRunner starts a runner that serves on the address app and sends its heartbeats to
 // the address control. born is its start time in Unix milliseconds by its clock.
-func startRunner(rec *record, id, rack, app, control string, born time.Time) (*runner, error) {
+func startRunner(rec *record, id, pool, rack, app, control string, born time.Time) (*runner, error) {
 	listener, err := net.Listen("tcp4", app)
 	if err != nil {
 		return nil, err
 	}
 	r := &runner{
-		id: id, rack: rack, control: control, record: rec, born: born.UnixMilli(), began: time.Now(), listener: listener,
+		id: id, pool: pool, rack: rack, control: control, record: rec, born: born.UnixMilli(), began: time.Now(), listener: listener,
 		stop: make(chan struct{}), running: make(map[string]*run), closed: make(map[string]uint64), newEnd: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -95,7 +96,7 @@
 	go func() { _ = r.server.Serve(listener) }()
 	go r.sendHeartbeats()
 	go r.work()
-	rec.add("runner %s up at %s, rack %s, born %d", id, app, rack, r.born)
+	rec.add("runner %s of %s up at %s, rack %s, born %d", id, pool, app, rack, r.born)
 	return r, nil
 }
 
@@ -116,7 +117,7 @@
 		seq := r.seq
 		r.mu.Unlock()
 		body, err := json.Marshal(map[string]any{
-			"backend": pool, "address": r.listener.Addr().String(), "zone": "cesis", "version": "v1", "slots": 8, "state": "ready",
+			"backend": r.pool, "address": r.listener.Addr().String(), "zone": "cesis", "version": "v1", "slots": 8, "state": "ready",
 			"cold_left_ms": 0, "capacity": map[string]int{"cpu": 128000, "mem_mb": 524288, "gpu": 8},
 			"labels": []string{"a", r.rack}, "clock_ms": r.clock(), "seq": seq, "born": r.born,
 		})
@@ -247,7 +248,7 @@
 		return http.StatusBadRequest, map[string]any{}
 	}
 	r.running[c.Task] = &run{number: c.Run, started: time.Now(), duration: time.Duration(milliseconds) * time.Millisecond}
-	r.record.started(c.Task)
+	r.record.started(c.Task, r.pool)
 	r.record.add("start %s run %d on %s, token %d", c.Task, c.Run, r.id, c.Token)
 	return http.StatusOK, map[string]any{}
 }
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -55,6 +55,9 @@
 		// lose, if it is set, says whether the answer to a transaction is lost, and how
 		// much later the transaction is carried out.
 		lose func(transaction) (time.Duration, bool)
+
+		// scanned, if it is set, is called when the last page of a table has been read.
+		scanned func(table string)
 	}
 
 	rowID struct {
@@ -250,6 +253,9 @@
 		reply.Rows = append(reply.Rows, row)
 	}
 	s.answer(w, http.StatusOK, reply)
+	if s.scanned != nil && limit == maxRows && !reply.More {
+		s.scanned(query.Get("table"))
+	}
 }
 
 func (s *store) serveFeed(w http.ResponseWriter, r *http.Request) {
--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -17,6 +17,7 @@
 
 const (
 	pool       = "lauku-atskaites"
+	secondPool = "lauku-atskaites-2"
 	apiKey     = "d4a3hwrr6x73d3zji9n7"
 	host       = "nony24.example"
 	prefix     = "/lohu930/"
@@ -36,7 +37,13 @@
 		mu     sync.Mutex
 		file   *os.File
 		began  time.Time
-		starts map[string]time.Time
+		starts map[string]firstStart
+	}
+
+	// firstStart is the first start of a work item of a job, on a runner of the pool.
+	firstStart struct {
+		at   time.Time
+		pool string
 	}
 
 	// world is a small deployment on loopback addresses.
@@ -79,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{file: file, began: time.Now(), starts: make(map[string]time.Time)}, nil
+	return &record{file: file, began: time.Now(), starts: make(map[string]firstStart)}, nil
 }
 
 // add writes a line with the time since the beginning.
@@ -90,21 +97,21 @@
 }
 
 // started notes the first start of a work item of a job.
-func (r *record) started(task string) {
+func (r *record) started(task, pool string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	job, _, _ := strings.Cut(task, ".")
 	if _, ok := r.starts[job]; !ok {
-		r.starts[job] = time.Now()
+		r.starts[job] = firstStart{at: time.Now(), pool: pool}
 	}
 }
 
-// firstStart returns when the first work item of a job started.
-func (r *record) firstStart(job string) (time.Time, bool) {
+// firstStart returns the first start of a work item of a job, and false if there is none.
+func (r *record) firstStart(job string) (firstStart, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at, ok := r.starts[job]
-	return at, ok
+	start, ok := r.starts[job]
+	return start, ok
 }
 
 // newWorld starts the platform's store, which has a manifest.
@@ -123,21 +130,32 @@
 	if err != nil {
 		return nil, err
 	}
+	return w, w.putManifest(7, pool)
+}
+
+// putManifest writes a version of the manifest, by which the queue is run by the runners of a
+// pool.
+func (w *world) putManifest(version int, queuePool string) error {
+	var services []map[string]any
+	for _, name := range []string{pool, secondPool} {
+		services = append(services, map[string]any{"name": name, "health_path": "/health", "max_conns": 64, "admission_check": false, "standby": false})
+	}
 	manifest, err := json.Marshal(map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []map[string]any{{
 			"name": "r-7ejsmzz", "host": host, "path_prefix": prefix, "type": "unsafe", "timeout_ms": 3000, "target_duration_ms": 1000,
-			"priority": 1, "backend": pool, "max_attempts": 4, "stretch": 3.0, "public": false,
+			"priority": 1, "backend": queuePool, "max_attempts": 4, "stretch": 3.0, "public": false,
 		}},
-		"services": []map[string]any{{"name": pool, "health_path": "/health", "max_conns": 64, "admission_check": false, "standby": false}},
+		"services": services,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144},
 		"tenants":  []map[string]any{{"name": "kaje80", "api_keys": []string{apiKey}, "priority": 1, "guaranteed": map[string]int{"gpu": 0}}},
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	w.store.put("op", "config", manifest)
-	return w, nil
+	w.record.add("manifest %d acknowledged: the queue is run by %s", version, queuePool)
+	return nil
 }
 
 func (w *world) address(machine, port int) string {
@@ -280,7 +298,7 @@
 // startRunners starts a runner beside each agent, each in a rack of its own.
 func (w *world) startRunners() error {
 	for i, a := range w.agents {
-		r, err := startRunner(w.record, runnerName(i), fmt.Sprintf("r1-%d", i+1), w.address(a.machine, appPort), w.address(a.machine, controlPort), time.Now())
+		r, err := startRunner(w.record, runnerName(i), pool, fmt.Sprintf("r1-%d", i+1), w.address(a.machine, appPort), w.address(a.machine, controlPort), time.Now())
 		if err != nil {
 			return err
 		}
