--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"net/http"
@@ -261,15 +262,13 @@
 	return w.checkStarted(repeated(jobBody(500*time.Millisecond, 0, only), 3), 20*time.Second)
 }
 
-// manifestInTakeover changes the manifest while a new leader takes over. From then on the queue is
-// run by another service.
+// manifestInTakeover kills the leading gate and changes the manifest while the next leader takes
+// over: the queue is run by another service from then on. It does so again, with another pause
+// before the change, as long as the change reaches the plan.
 func manifestInTakeover(w *world, trouble bool) error {
 	const (
 		jobCount   = 3300
 		submitters = 8
-
-		// decodeTime is about the time that the new leader takes to decode what it has read.
-		decodeTime = 10 * time.Millisecond
 	)
 	if err := w.prepare([]int{1, 2}, []int{11, 12}); err != nil {
 		return err
@@ -285,50 +284,85 @@
 	rows, size := w.store.count("job")
 	w.record.add("%d of %d jobs accepted; the store has %d jobs of %d bytes", accepted, jobCount, rows, size)
 	time.Sleep(settleTime)
+	version, current, other := 7, pool, secondPool
+	for _, pause := range []time.Duration{10 * time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond} {
+		version, current, other = version+1, other, current
+		change := func() error { return w.putManifest(version, current) }
+		var err error
+		if trouble {
+			err = w.changeInTakeover(pause, change)
+		} else {
+			err = change()
+		}
+		if err != nil {
+			return err
+		}
+		time.Sleep(settleTime)
+		if wrong, err := w.runElsewhere(current); err != nil || wrong {
+			return cmp.Or(err, errBroken)
+		}
+	}
+	return nil
+}
+
+// changeInTakeover kills the leading gate and carries out a change of the operator's the pause after
+// the store has answered the last read of the new leader. The gate starts again 3.5 s later.
+func (w *world) changeInTakeover(pause time.Duration, change func() error) error {
+	const outage = 3500 * time.Millisecond
 	leader := w.leader()
 	if leader == nil {
 		return errors.New("no gate holds the lease")
 	}
 	w.record.add("%s leads", leader.node)
-	acknowledged := make(chan error, 1)
-	var once sync.Once
-	change := func() { acknowledged <- w.putManifest(8, secondPool) }
-	if trouble {
-		w.store.mu.Lock()
-		w.store.scanned = func(table string) {
-			if table == "job" {
-				once.Do(func() { time.AfterFunc(decodeTime, change) })
-			}
+	var (
+		mu   sync.Mutex
+		read = make(map[string]bool)
+		done = make(chan error, 1)
+	)
+	w.store.mu.Lock()
+	w.store.scanned = func(table string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if read["job"] && read["record"] {
+			return
 		}
-		w.store.mu.Unlock()
-		w.removeGate(leader)
-	} else {
-		change()
+		read[table] = true
+		if read["job"] && read["record"] {
+			time.AfterFunc(pause, func() { done <- change() })
+		}
+	}
+	w.store.mu.Unlock()
+	w.removeGate(leader)
+	time.Sleep(outage)
+	if err := w.start(leader, []*process{leader}); err != nil {
+		return err
 	}
+	w.mu.Lock()
+	w.gates = append(w.gates, leader)
+	w.mu.Unlock()
 	select {
-	case err := <-acknowledged:
-		if err != nil {
-			return err
-		}
+	case err := <-done:
+		return err
 	case <-time.After(settleTime):
 		return errors.New("no new leader")
 	}
-	time.Sleep(settleTime)
-	broken := false
+}
+
+// runElsewhere hands jobs in and reports whether one was run by another service than the wanted one.
+func (w *world) runElsewhere(want string) (bool, error) {
+	elsewhere := 0
 	for range 5 {
 		job := w.newJob()
 		if !w.submit(job, jobBody(100*time.Millisecond, 0, smallStep)) || !w.awaitStart(job, settleTime) {
-			return errors.New("a job was not accepted, or has not started")
+			return false, errors.New("a job was not accepted, or has not started")
+		}
+		if start, _ := w.record.firstStart(job); start.pool != want {
+			elsewhere++
 		}
-		start, _ := w.record.firstStart(job)
-		broken = broken || start.pool != secondPool
 		time.Sleep(time.Second)
 	}
-	if broken {
-		w.record.add("jobs sent 10 s after the change and later were run by the old service")
-		return errBroken
-	}
-	return nil
+	w.record.add("%d of 5 jobs sent 10 s after the change and later were run by the old service", elsewhere)
+	return elsewhere > 0, nil
 }
 
 // submitMany hands in jobs from several clients at a time and returns how many were accepted.
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -162,8 +162,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if s.lose != nil {
-		if late, lost := s.lose(t); lost {
+	s.mu.Lock()
+	lose := s.lose
+	s.mu.Unlock()
+	if lose != nil {
+		if late, lost := lose(t); lost {
 			time.AfterFunc(late, func() { s.apply(t) })
 			<-r.Context().Done()
 			panic(http.ErrAbortHandler)
@@ -237,6 +240,7 @@
 		}
 	}
 	reply := rowsReply{Rows: []storedRow{}, Version: s.version}
+	scanned := s.scanned
 	s.mu.Unlock()
 	slices.SortFunc(rows, func(a, b storedRow) int {
 		if a.Key < b.Key {
@@ -253,8 +257,8 @@
 		reply.Rows = append(reply.Rows, row)
 	}
 	s.answer(w, http.StatusOK, reply)
-	if s.scanned != nil && limit == maxRows && !reply.More {
-		s.scanned(query.Get("table"))
+	if scanned != nil && limit == maxRows && !reply.More {
+		scanned(query.Get("table"))
 	}
 }
 
