--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -121,8 +121,8 @@
 // later. The gates are on front machines of the smallest class of the grown deployments.
 func takeoverOnSlowLink(w *world, trouble bool) error {
 	const (
-		jobsPerSecond = 5
-		jobCount      = 250
+		jobsPerSecond = 4
+		jobCount      = 200
 		specBytes     = 4000
 		outage        = 3500 * time.Millisecond
 	)
@@ -178,34 +178,54 @@
 }
 
 // lateJobAfterCancel loses the answers to the transactions that store a job. They are carried
-// out seconds later, after the client has cancelled the job.
+// out seconds later, after the client has cancelled the job. Three other clients hand jobs in as
+// usual.
 func lateJobAfterCancel(w *world, trouble bool) error {
-	const late = 6 * time.Second
+	const (
+		late = 6 * time.Second
+
+		// others is the number of other clients, lead the time from the beginning of the
+		// disruption to the job, and mostLost the largest share of transactions lost in it.
+		others   = 3
+		lead     = 2500 * time.Millisecond
+		mostLost = 0.35
+	)
 	if err := w.prepare([]int{1, 2}, []int{11, 12}); err != nil {
 		return err
 	}
 	job := w.newJob()
+	var lost, answered atomic.Int64
 	if trouble {
 		w.store.mu.Lock()
 		w.store.lose = func(t transaction) (time.Duration, bool) {
 			for _, row := range t.Writes {
 				if row.Table == "job" && row.Key == job {
+					lost.Add(1)
 					w.record.add("answer to the transaction that stores %s lost; it is carried out in %s", job, late)
 					return late, true
 				}
 			}
-			w.record.add("another transaction answered")
+			answered.Add(1)
 			return 0, false
 		}
 		w.store.mu.Unlock()
 	}
+	for range others {
+		if !w.submit(w.newJob(), jobBody(time.Second, 0, smallStep)) {
+			return errors.New("the job of another client was not accepted")
+		}
+	}
+	time.Sleep(lead)
 	gate := w.liveGates()[0]
 	w.send(gate, http.MethodPost, job, jobBody(5*time.Second, 0, smallStep))
 	if trouble {
 		w.store.mu.Lock()
 		w.store.lose = nil
 		w.store.mu.Unlock()
-		w.record.add("the store answers all transactions again")
+		w.record.add("the store answers all transactions again: %d lost, %d answered", lost.Load(), answered.Load())
+		if float64(lost.Load()) > mostLost*float64(lost.Load()+answered.Load()) {
+			return errors.New("more transactions were lost than the pages allow")
+		}
 	}
 	var cancelled time.Time
 	for range clientTries {
@@ -231,10 +251,10 @@
 // day was set back.
 func runnerClockSetBack(w *world, trouble bool) error {
 	const (
-		uptime, downtime = 700 * time.Millisecond, 500 * time.Millisecond
-		step             = 2400 * time.Millisecond
+		uptime, downtime = 800 * time.Millisecond, 600 * time.Millisecond
+		step             = 2000 * time.Millisecond
 	)
-	if err := w.prepare([]int{1, 2}, []int{11, 12, 13, 14, 15, 16, 17, 18, 19}); err != nil {
+	if err := w.prepare([]int{1, 2}, []int{11, 12, 13, 14, 15, 16, 17, 18, 19, 20}); err != nil {
 		return err
 	}
 	a := w.agents[0]
@@ -267,8 +287,11 @@
 // before the change, as long as the change reaches the plan.
 func manifestInTakeover(w *world, trouble bool) error {
 	const (
-		jobCount   = 3300
+		jobCount   = 500
 		submitters = 8
+
+		// interval is the time between two jobs: 1.8 times the rate of the large deployment.
+		interval = time.Second / 10
 	)
 	if err := w.prepare([]int{1, 2}, []int{11, 12}); err != nil {
 		return err
@@ -280,12 +303,14 @@
 	if _, err := startRunner(w.record, runnerName(2), secondPool, "r1-9", w.address(a.machine, appPort), w.address(a.machine, controlPort), time.Now()); err != nil {
 		return err
 	}
-	accepted := w.submitMany(jobCount, submitters, jobBody(10*time.Millisecond, 0, smallStep))
+	wide := smallStep
+	wide.Count = 38
+	accepted := w.submitMany(jobCount, submitters, interval, jobBody(10*time.Millisecond, 0, wide))
 	rows, size := w.store.count("job")
 	w.record.add("%d of %d jobs accepted; the store has %d jobs of %d bytes", accepted, jobCount, rows, size)
-	time.Sleep(settleTime)
+	time.Sleep(idleTime)
 	version, current, other := 7, pool, secondPool
-	for _, pause := range []time.Duration{10 * time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond} {
+	for _, pause := range []time.Duration{2 * time.Millisecond, 5 * time.Millisecond} {
 		version, current, other = version+1, other, current
 		change := func() error { return w.putManifest(version, current) }
 		var err error
@@ -366,12 +391,15 @@
 }
 
 // submitMany hands in jobs from several clients at a time and returns how many were accepted.
-func (w *world) submitMany(count, clients int, body []byte) int {
-	jobs := make(chan string, count)
-	for range count {
-		jobs <- w.newJob()
-	}
-	close(jobs)
+func (w *world) submitMany(count, clients int, interval time.Duration, body []byte) int {
+	jobs := make(chan string)
+	go func() {
+		for range count {
+			jobs <- w.newJob()
+			time.Sleep(interval)
+		}
+		close(jobs)
+	}()
 	var (
 		accepted atomic.Int64
 		running  sync.WaitGroup
