Let agents look for gates again while no leader gives orders

Cause: an agent read the gates' rows until it had found one, and never again; its list of gates only grew. Now the core asks for a search while no leader has given orders for half of the hold, every 3 s, and what is found replaces the list, the gates that announced themselves last first. Half of the hold leaves the tasks' leases time, and a usual takeover (some 2 s) causes no search.

Evidence: the agents of the case logged nothing after "leader lost". Ruled out: gates that don't lead (the lease and jobs' rows of the new ones are written) and agents that find them and are refused.

--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -90,6 +90,16 @@
 		Err    error
 	}
 
+	// FindGates is the effect that looks for the region's gates in the table.
+	FindGates struct{}
+
+	// GatesFound is the event that answers FindGates. Gates has the gates that announced
+	// themselves last first. It is valid if Err is nil.
+	GatesFound struct {
+		Gates []machine.Node
+		Err   error
+	}
+
 	// Tick is the event that time has passed.
 	Tick struct{}
 
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -72,7 +72,7 @@
 	if e.Orders.ReportWait > 0 {
 		c.reportWait = min(e.Orders.ReportWait, c.config.HoldTime/reportsPerHold)
 	}
-	c.leader, c.nextReport = e.Call.To, time.Time{}
+	c.leader, c.nextReport, c.ledAt = e.Call.To, time.Time{}, now
 	if e.Orders.Seq <= c.applied {
 		return
 	}
@@ -256,9 +256,10 @@
 	}
 }
 
-// runDue sends the calls to the runner and the report that are due, and gives up
-// the tasks of a runner whose lease has expired.
+// runDue sends the calls to the runner and the report that are due, gives up the tasks of
+// a runner whose lease has expired, and looks for gates.
 func (c *Core) runDue(now time.Time) {
+	c.findGates(now)
 	c.stopExpired(now)
 	c.sendStops(now)
 	c.renewLease(now)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -131,6 +131,13 @@
 		// next in the search for the leader.
 		nextGate int
 
+		// ledAt is when a leader last answered a report, or the zero time. finding says that a
+		// search for gates is in flight, found that one has found some. No other begins
+		// before nextFind.
+		ledAt          time.Time
+		finding, found bool
+		nextFind       time.Time
+
 		// inFlight is the number of reports in flight.
 		inFlight int
 
@@ -297,6 +304,8 @@
 		c.onRenewLeaseResult(now, e)
 	case SendResult:
 		c.onReportAnswered(now, e)
+	case GatesFound:
+		c.onGatesFound(now, e)
 	}
 	c.runDue(now)
 	return c.effects
--- a/internal/serve/agent.go
+++ b/internal/serve/agent.go
@@ -1,7 +1,9 @@
 package serve
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -69,7 +71,10 @@
 		events chan any
 		ctx    context.Context
 
-		metrics *Metrics
+		// ignoredRows has the versions of the rows that are not those of gates. Only
+		// findGates uses it, of which one call runs at a time.
+		ignoredRows map[table.Key]table.Version
+		metrics     *Metrics
 	}
 )
 
@@ -79,7 +84,7 @@
 	incarnation := control.Incarnation(boottime.Now().UnixNano())
 	return &Agent{
 		config: config, client: control.NewClient(), events: make(chan any, maxEvents),
-		metrics: NewMetrics(),
+		ignoredRows: make(map[table.Key]table.Version), metrics: NewMetrics(),
 		core: runner.New(config.ID, incarnation, config.Seeds, runner.WithHoldTime(config.HoldTime),
 			runner.WithIntervals(reportInterval, listInterval)),
 	}
@@ -107,7 +112,6 @@
 // Run processes events until the context ends.
 func (a *Agent) Run(ctx context.Context) {
 	a.ctx = ctx
-	go a.discoverGates()
 	ticker := time.NewTicker(agentTickInterval)
 	defer ticker.Stop()
 	timer := time.NewTimer(agentTickInterval)
@@ -137,24 +141,12 @@
 	}
 }
 
-// discoverGates reads the gates' rows from the table until there are some, and
-// adds these gates to the known ones. An agent whose settings name no gate that
-// still exists finds the gates in this way.
-func (a *Agent) discoverGates() {
-	ignored := make(map[table.Key]table.Version)
-	for a.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(a.ctx, tableTimeout)
-		rows, err := scanAll(ctx, a.config.Table, gatePrefix)
-		cancel()
-		if gates := gateNodes(rows, ignored); err == nil && len(gates) > 0 {
-			a.Post(a.ctx, gates)
-			return
-		}
-		select {
-		case <-a.ctx.Done():
-		case <-time.After(discoveryInterval / 4):
-		}
-	}
+// findGates reads the gates' rows from the table. The gates that announced themselves last
+// come first, since the rows of those that are gone stay for a while.
+func (a *Agent) findGates(ctx context.Context) any {
+	rows, err := scanAll(ctx, a.config.Table, gatePrefix)
+	slices.SortStableFunc(rows, func(x, y table.Row) int { return cmp.Compare(y.Version, x.Version) })
+	return runner.GatesFound{Gates: gateNodes(rows, a.ignoredRows), Err: err}
 }
 
 // execute carries out an effect. The result of a call is posted as an event.
@@ -168,6 +160,8 @@
 			orders, err := a.client.Report(ctx, e.To, e.Report)
 			return runner.SendResult{Call: e, Orders: orders, Err: err}
 		}, e.Report.Wait+reportTimeout)
+	case runner.FindGates:
+		a.runAsync(a.findGates, tableTimeout)
 	case runner.StartTask:
 		a.runAsync(func(ctx context.Context) any { return a.config.Driver.Start(ctx, e) }, runnerCallTimeout)
 	case runner.StopTask:
--- a/internal/serve/members.go
+++ b/internal/serve/members.go
@@ -19,7 +19,6 @@
 	gatePrefix table.Key = "gate/"
 
 	// discoveryInterval is the time between two scans of a gate for other gates.
-	// An agent that has found no gate scans four times as often.
 	discoveryInterval = 3 * time.Second
 
 	// announceInterval is the time after which a gate writes its row again.
