Store the cancellation of an unknown job before answering that there is none

Cause: the gate read that neither the job nor its cancellation was stored and left nothing that the late transaction would meet. It stores the cancellation now in any case; the leader kept cancellations that come before their jobs already. It removes them two minutes later if the job has not come: rows and memory of such cancellations stayed for ever before.

Evidence: the record has one POST and no row of a cancellation. Ruled out: a condition of the submission on the cancellation's row, which would leave a submission that is sent again without a truthful answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -236,28 +237,25 @@
 	return state, len(rows) > 0, nil
 }
 
-// Cancel stores the cancellation of a job. It returns false without an error if
-// there is certainly no such job, and the last error if no attempt succeeded.
+// Cancel stores the cancellation of a job and returns whether the job is stored. It stores
+// the cancellation of an unknown job, too, since a transaction that stores the job may take
+// effect later. It returns the last error if no attempt succeeded.
 func (e *Entry) Cancel(ctx context.Context, id work.JobID) (bool, error) {
-	key := region.CancelPrefix + table.Key(id)
+	key, jobKey := region.CancelPrefix+table.Key(id), region.JobPrefix+table.Key(id)
 	var lastErr error
 	for range maxAttempts {
-		rows, err := e.table.Read(ctx, []table.Key{region.JobPrefix + table.Key(id), key})
-		if err == nil && len(rows) == 0 {
-			return false, nil
-		}
-		if err == nil && len(rows) == 2 {
-			return true, nil
-		}
+		rows, err := e.table.Read(ctx, []table.Key{jobKey, key})
 		if err == nil {
+			known := hasRow(rows, jobKey)
+			if hasRow(rows, key) {
+				return known, nil
+			}
 			txn := table.Txn{
 				Checks: []table.Check{{Key: key, Version: table.Absent}},
 				Writes: []table.Write{{Key: key, Value: []byte{}}},
 			}
-			var conflict *table.ConflictError
-			_, err = e.table.Commit(ctx, txn)
-			if err == nil || errors.As(err, &conflict) {
-				return true, nil
+			if _, err = e.table.Commit(ctx, txn); err == nil {
+				return known, nil
 			}
 		}
 		lastErr = err
@@ -267,3 +265,8 @@
 	}
 	return false, lastErr
 }
+
+// hasRow reports whether one of the rows has a key.
+func hasRow(rows []table.Row, key table.Key) bool {
+	return slices.ContainsFunc(rows, func(row table.Row) bool { return row.Key == key })
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"github.com/lovageroad/lovageroad/internal/configuration"
 	"github.com/lovageroad/lovageroad/internal/entry"
 	"github.com/lovageroad/lovageroad/internal/platform"
+	"github.com/lovageroad/lovageroad/internal/region"
 	"github.com/lovageroad/lovageroad/internal/work"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
@@ -105,3 +106,27 @@
 		}
 	})
 }
+
+// TestCancelBeforeLateJob guards against a job that runs after its caller was told that there is
+// no such job: the transaction that stores it takes effect after the cancelling.
+func TestCancelBeforeLateJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := platform.NewMemory()
+		var late []table.Txn
+		submit(stubTable{Memory: memory, commit: func(_ context.Context, txn table.Txn) (table.Version, error) {
+			late = append(late, txn)
+			return 0, &table.UncertainError{Reason: "no answer"}
+		}})
+		e := entry.New(memory, nil, configuration.NewHolder(), configurationKey)
+		if known, err := e.Cancel(t.Context(), "j1"); known || err != nil {
+			t.Errorf("known %t, %v", known, err)
+		}
+		if _, err := memory.Commit(t.Context(), late[0]); err != nil {
+			t.Fatal(err)
+		}
+		rows, err := memory.Read(t.Context(), []table.Key{region.JobPrefix + "j1", region.CancelPrefix + "j1"})
+		if err != nil || len(rows) != 2 {
+			t.Errorf("rows %v, %v, want the job and its cancellation", rows, err)
+		}
+	})
+}
--- a/internal/region/batch.go
+++ b/internal/region/batch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/lovageroad/lovageroad/internal/work"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
@@ -53,8 +54,10 @@
 		samples     uint64
 		runTimesRow *trackedRow
 
-		// expired are ended jobs whose rows the batch removes.
-		expired []*job
+		// expired are ended jobs whose rows the batch removes, earlyCancels unknown jobs whose
+		// cancellations it removes.
+		expired      []*job
+		earlyCancels []work.JobID
 	}
 
 	// trackedRow is the leader's knowledge of a table row that it writes.
@@ -123,6 +126,7 @@
 	}
 	if limit > 1 {
 		c.addExpired(b)
+		c.addEarlyCancels(b)
 	}
 	if len(b.Txn.Writes) == 0 {
 		c.singleRows = 0
@@ -145,7 +149,7 @@
 // is tried again after a back-off.
 func (c *Core) onInvalid(b *Batch) {
 	rows := b.rows()
-	if n := len(rows) + len(b.expired); n > 1 {
+	if n := len(rows) + len(b.expired) + len(b.earlyCancels); n > 1 {
 		c.singleRows = n
 		return
 	}
@@ -167,6 +171,7 @@
 	if errors.As(err, &conflict) && conflict.Key == c.epochCheck.Key {
 		return false
 	}
+	c.dropEarlyCancels(b, err, conflict != nil)
 	if err != nil {
 		if errors.As(err, &rejected) && rejected.Invalid {
 			c.onInvalid(b)
--- a/internal/region/job.go
+++ b/internal/region/job.go
@@ -162,7 +162,7 @@
 	c.liveJobs = append(c.liveJobs, j)
 	c.replan = true
 	c.log(LogEntry{Event: "job admitted", Job: s.Job.ID, Detail: describe(s.Job), Count: len(s.Job.Steps), Version: acceptedVersion})
-	if c.earlyCancels[s.Job.ID] {
+	if _, ok := c.earlyCancels[s.Job.ID]; ok {
 		delete(c.earlyCancels, s.Job.ID)
 		j.hasCancelRow = true
 		c.finish(now, j, Cancelled)
@@ -207,21 +207,6 @@
 		s.MaxPerRunner, s.Opportunistic, s.Checkpoints, s.LongRunning, s.Estimate)
 }
 
-// Cancel cancels a job on behalf of its caller. The cancellation of an unknown job
-// is kept until the job arrives, since jobs and cancellations are read
-// concurrently.
-func (c *Core) Cancel(now time.Time, id work.JobID) {
-	j, ok := c.jobs[id]
-	if !ok {
-		c.earlyCancels[id] = true
-		return
-	}
-	j.hasCancelRow = true
-	if !j.hasEnded() {
-		c.finish(now, j, Cancelled)
-	}
-}
-
 // State returns the durable state of a job, or Running for a job that has begun and
 // has no later durable state. It returns false if the job is not known.
 func (c *Core) State(id work.JobID) (State, bool) {
--- a/internal/region/large_record_test.go
+++ b/internal/region/large_record_test.go
@@ -139,7 +139,7 @@
 		if kept := starts[0].Checkpoint != ""; len(starts) != tasks || kept != (tasks == 5_000) {
 			t.Errorf("%d of %d tasks start, with checkpoint %t", len(starts), tasks, kept)
 		}
-		h.core.Cancel(h.now, ids[0])
+		h.core.Cancel(h.now, ids[0], 9)
 		h.save()
 		if rows, _ := h.table.Scan(context.Background(), region.RecordPrefix, "", 1000); len(rows) != 1 {
 			t.Errorf("%d rows left after the end of the job", len(rows))
--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -124,7 +124,7 @@
 // A row that no gate can have written is logged and left out.
 func (c *Core) ApplyRow(now time.Time, row table.Row) {
 	if id, ok := cutPrefix(row.Key, CancelPrefix); ok {
-		c.Cancel(now, work.JobID(id))
+		c.Cancel(now, work.JobID(id), row.Version)
 		return
 	}
 	id, ok := cutPrefix(row.Key, JobPrefix)
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -91,8 +91,10 @@
 		// changed. The zero time means not at all.
 		nextReplan time.Time
 
-		// earlyCancels are jobs whose cancellation arrived before the job itself.
-		earlyCancels map[work.JobID]bool
+		// earlyCancels are the cancellations that arrived before their jobs, earlyOrder
+		// their jobs in the order of arrival. It may have some that have arrived since.
+		earlyCancels map[work.JobID]earlyCancel
+		earlyOrder   []work.JobID
 
 		// unreadable are jobs whose records can't be decoded. What they have done
 		// is not known, so none of their tasks may start.
@@ -167,7 +169,7 @@
 	return &Core{
 		config: config, epoch: epoch, epochCheck: epochCheck, began: now, initialVersion: initialVersion, currentConfiguration: current,
 		jobs: make(map[work.JobID]*job), removedJobs: make(map[work.JobID]removedJob),
-		workers: make(map[control.AgentID]*worker), earlyCancels: make(map[work.JobID]bool),
+		workers: make(map[control.AgentID]*worker), earlyCancels: make(map[work.JobID]earlyCancel),
 		unreadable:     make(map[work.JobID]bool),
 		placementCount: make(map[work.TaskID]int),
 		runTimes:       make(map[work.QueueID]*runTimeStats),
--- a/internal/region/retention_test.go
+++ b/internal/region/retention_test.go
@@ -129,3 +129,28 @@
 		t.Errorf("starts %v of a new job, want 1", orders.Starts)
 	}
 }
+
+// TestEarlyCancelRemoved guards against cancellations of unknown jobs that stay for ever, and
+// against a job that runs though its cancellation came minutes before it.
+func TestEarlyCancelRemoved(t *testing.T) {
+	h := newHarness(t)
+	for _, id := range []table.Key{"j1", "j2"} {
+		key := region.CancelPrefix + id
+		version, err := h.table.Commit(t.Context(), table.Txn{Writes: []table.Write{{Key: key}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.core.ApplyRow(h.now, table.Row{Key: key, Version: version})
+	}
+	h.now = h.now.Add(time.Minute)
+	h.join("a")
+	h.submit(gpuJob("j1", 1, 4))
+	if orders := h.report("a", nil); len(orders.Starts) != 0 {
+		t.Errorf("starts %v of a cancelled job", orders.Starts)
+	}
+	h.now = h.now.Add(2 * time.Minute)
+	h.join("a")
+	if rows, err := h.table.Scan(t.Context(), region.CancelPrefix, "", 10); err != nil || len(rows) != 1 || rows[0].Key != "cancel/j1" {
+		t.Errorf("cancellations %v, %v, want that of the job", rows, err)
+	}
+}
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -75,7 +75,7 @@
 	if h.runs[taskOf("j1", 0)] != 0 {
 		t.Error("started before the hold had expired")
 	}
-	h.core.Cancel(h.now, "j2")
+	h.core.Cancel(h.now, "j2", 9)
 	delete(h.runs, taskOf("j2", 0))
 	h.advance(4*time.Second, "a")
 	if h.runs[taskOf("j1", 0)] == 0 {
