Read the gate's configuration at each update of the leader's state

Cause: a gate passed each version to its leader once. A leader that was building its state took the configuration before and dropped what was passed to it before it had published that state. Now each update of the state reads the gate's configuration, and nothing is passed on.

Evidence: the new leader's gate logs "configuration in force" for version 8 4.5 ms before "leading" (took 19.8 ms), and the jobs that went to the old service were stored under version 8. Ruled out by that: a version that the gate misses, and the service that is stored with the job.

--- a/internal/region/log.go
+++ b/internal/region/log.go
@@ -32,7 +32,7 @@
 	// EpochAge is the time since the leader's epoch began.
 	EpochAge time.Duration
 
-	// Version is the version of the row, or of the job's.
+	// Version is the version of the row, of the job's, or of the configuration.
 	Version table.Version
 
 	// ReportEpoch, ReportSeq and Incarnation are the report's that led to the entry.
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -190,6 +190,7 @@
 	if c.currentConfiguration == nil || current.Version > c.currentConfiguration.Version {
 		c.currentConfiguration = current
 		c.replan = true
+		c.log(LogEntry{Event: "configuration applied", Version: table.Version(current.Version)})
 	}
 }
 
--- a/internal/serve/configuration.go
+++ b/internal/serve/configuration.go
@@ -91,7 +91,4 @@
 	}
 	g.metrics.configurationVersion.Set(float64(c.Version))
 	klog.InfoS("configuration in force", "version", c.Version, "row", row.Version, "queues", len(c.Queues), "accounts", len(c.Accounts))
-	if l := g.localLeader(); l != nil {
-		l.configure(c)
-	}
 }
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -9,7 +9,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/lovageroad/lovageroad/internal/configuration"
 	"github.com/lovageroad/lovageroad/internal/control"
 	"github.com/lovageroad/lovageroad/internal/region"
 	"github.com/lovageroad/lovageroad/pkg/boottime"
@@ -100,9 +99,10 @@
 	}
 }
 
-// update applies a change to the core, then wakes the polls of agents that have
-// new orders, and the goroutine that writes records. It does nothing before the
-// core is loaded.
+// update gives the core the gate's clock and configuration and applies a change to it, then
+// wakes the polls of agents that have new orders, and the goroutine that writes records. It
+// does nothing before the core is loaded. The configuration is read at each update, so that
+// no version is missed that arrives while there is no core.
 func (l *leader) update(change func(now time.Time, core *region.Core)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -110,6 +110,9 @@
 		return
 	}
 	l.core.SetWallClockOffset(l.gate.wallClockOffset())
+	if current, _ := l.gate.holder.Current(); current != nil {
+		l.core.Configure(current)
+	}
 	change(boottime.Now(), l.core)
 	for id, p := range l.polls {
 		if l.core.OrdersPending(id) {
@@ -292,11 +295,6 @@
 	return true
 }
 
-// configure passes a newer configuration to the core.
-func (l *leader) configure(current *configuration.Configuration) {
-	l.update(func(_ time.Time, core *region.Core) { core.Configure(current) })
-}
-
 // report applies an agent's report and returns orders for the agent: as soon as
 // there are any, and otherwise after report.Wait. A report that the core ignores, or
 // that is followed by a newer one, is answered at once. It returns false if this gate
