Assume the longest lease at a runner that was started again

The second run began 8.9 s after the first, whose lease lasted 9.9 s.

Cause: a lease ends at a time on the runner's clock, which begins anew with each incarnation. A call that was meant for the former one and reaches the next asks for an end that is far away by the new clock, and the runner grants its longest lease, 10 s. The agent took the lease for at most the hold, 6 s, and gave the silent runner up 1.5 s after that. Now it assumes the longest lease when an incarnation first lists its tasks. A complete list without tasks says that nothing runs whatever the lease is, so an idle runner is given up no later than before.

TestLeaseOfNextIncarnation failed before: "tasks given up after 7.7s".

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -59,8 +59,10 @@
 	c.resetRunner()
 	c.runner, c.heartbeatSeq = &next.Runner, next.Seq
 	c.runnerClock, c.runnerClockAt, c.suspended = clock, now, 0
-	// A former process of the agent may have asked for the longest lease just before.
-	c.requestedUntil = clock + Clock(c.config.HoldTime/time.Millisecond)
+	// A former process of the agent may have asked for a lease just before. So may a call that
+	// was meant for the former incarnation: by the clock of this one, which has begun anew, its
+	// lease has no end, and the runner grants the longest one.
+	c.requestedUntil = clock + Clock(c.config.MaxLease/time.Millisecond)
 }
 
 // requestNewList says that the tasks are not known until a list has arrived that is
--- /dev/null
+++ b/internal/runner/recut_test.go
@@ -0,0 +1,51 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/runner"
+)
+
+// maxLease is the longest lease that a runner grants.
+const maxLease = 10 * time.Second
+
+// restartWithFirst starts the first run, which reaches the next incarnation of the runner under
+// its name, and lets that list it.
+func (h *harness) restartWithFirst() {
+	h.t.Helper()
+	h.startFirst()
+	h.heartbeatOf(reborn)
+	h.listFrom(must[runner.RenewLease](h), control.Task{ID: start(1).Task, Run: 1, Phase: control.Running})
+}
+
+// givenUpAfter answers no call until the agent gives the runner up, and returns after which time
+// that was.
+func (h *harness) givenUpAfter() time.Duration {
+	h.t.Helper()
+	for began := h.now; h.now.Sub(began) < time.Minute; h.wait(50 * time.Millisecond) {
+		for _, effect := range h.effects {
+			switch e := effect.(type) {
+			case runner.Log:
+				if e.Event == "runner silent" {
+					return h.now.Sub(began)
+				}
+			case runner.RenewLease:
+				h.step(runner.RenewLeaseResult{Call: e, Answer: runner.NoAnswer})
+			}
+		}
+	}
+	h.t.Fatal("the tasks were not given up")
+	return 0
+}
+
+// TestLeaseOfNextIncarnation guards against tasks that are given up while they run: a call for the
+// former incarnation gave the next one, whose clock began anew, the longest lease.
+func TestLeaseOfNextIncarnation(t *testing.T) {
+	h := newHarness(t)
+	h.restartWithFirst()
+	if age := h.givenUpAfter(); age < maxLease {
+		t.Errorf("tasks given up after %v", age)
+	}
+}
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -180,11 +180,13 @@
 	if c.runner == nil || c.runnerGone || now.Sub(c.lastAnswer) <= c.config.AnswerTimeout {
 		return
 	}
-	if len(c.tasks) == 0 && now.Sub(c.lastHeartbeat) <= c.config.HeartbeatTimeout {
-		return
-	}
 	remaining := time.Duration(c.requestedUntil-c.runnerClock) * time.Millisecond
-	if c.leastElapsed(now) > remaining+c.config.MaxOrdersAge {
+	expired := c.leastElapsed(now) > remaining+c.config.MaxOrdersAge
+	if len(c.tasks) == 0 {
+		// Nothing runs after a complete list without tasks, however long the lease is.
+		expired = (expired || c.listComplete) && now.Sub(c.lastHeartbeat) > c.config.HeartbeatTimeout
+	}
+	if expired {
 		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.lastAnswer), "until", c.requestedUntil, "clock", c.runnerClock)
 		c.dropTasks()
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -69,6 +69,10 @@
 		// HoldTime is how long tasks keep running after the leader's last orders.
 		HoldTime time.Duration
 
+		// MaxLease is the longest lease that a runner grants, however late the end that is
+		// asked for.
+		MaxLease time.Duration
+
 		// MaxOrdersAge is the age above which orders are ignored. It is counted from when
 		// the report that they answer was sent.
 		MaxOrdersAge time.Duration
@@ -257,6 +261,11 @@
 	return func(c *Config) { c.HoldTime = hold }
 }
 
+// WithMaxLease sets the longest lease that a runner grants.
+func WithMaxLease(lease time.Duration) Option {
+	return func(c *Config) { c.MaxLease = lease }
+}
+
 // WithIntervals sets the least times between two reports and between two lists.
 func WithIntervals(reports, lists time.Duration) Option {
 	return func(c *Config) { c.ReportInterval, c.ListInterval = reports, lists }
@@ -266,7 +275,7 @@
 // report to at first.
 func New(id control.AgentID, incarnation control.Incarnation, seeds []machine.Node, options ...Option) *Core {
 	config := Config{
-		HoldTime: 6 * time.Second, MaxOrdersAge: 1500 * time.Millisecond, ListWait: 500 * time.Millisecond,
+		HoldTime: 6 * time.Second, MaxLease: 10 * time.Second, MaxOrdersAge: 1500 * time.Millisecond, ListWait: 500 * time.Millisecond,
 		ReportWait: 600 * time.Millisecond, AnswerTimeout: 1500 * time.Millisecond, HeartbeatTimeout: 3500 * time.Millisecond,
 	}
 	for _, option := range options {
--- a/internal/serve/agent.go
+++ b/internal/serve/agent.go
@@ -59,6 +59,9 @@
 		// HoldTime is how long a task may run after the last orders that a leader
 		// gave the agent.
 		HoldTime time.Duration
+
+		// MaxLease is the longest lease that the runner grants.
+		MaxLease time.Duration
 	}
 
 	// Agent is the process beside a runner: it reports to the leading gate,
@@ -85,7 +88,7 @@
 	return &Agent{
 		config: config, client: control.NewClient(), events: make(chan any, maxEvents),
 		ignoredRows: make(map[table.Key]table.Version), metrics: NewMetrics(),
-		core: runner.New(config.ID, incarnation, config.Seeds, runner.WithHoldTime(config.HoldTime),
+		core: runner.New(config.ID, incarnation, config.Seeds, runner.WithHoldTime(config.HoldTime), runner.WithMaxLease(config.MaxLease),
 			runner.WithIntervals(reportInterval, listInterval)),
 	}
 }
--- a/internal/serve/agent_test.go
+++ b/internal/serve/agent_test.go
@@ -59,7 +59,7 @@
 // found one: all gates that it knows are replaced by one at another address.
 func TestAgentFindsReplacedGates(t *testing.T) {
 	memory := platform.NewMemory()
-	agent := serve.NewAgent(serve.AgentConfig{ID: "a", Table: memory, Driver: idleDriver{}, HoldTime: 6 * time.Second})
+	agent := serve.NewAgent(serve.AgentConfig{ID: "a", Table: memory, Driver: idleDriver{}, HoldTime: 6 * time.Second, MaxLease: 10 * time.Second})
 	go agent.Run(t.Context())
 	first := startGate(t, memory)
 	first.CloseClientConnections()
