Count the hold of a leader's orders across incarnations of the runner

What operators may see: two runs of a task at once. An agent that is cut off stops its tasks once the hold of the last orders has passed, since a leader then starts them elsewhere. When its runner started again it forgot when these orders came, and a task that the new incarnation ran was never stopped: its lease may be the longest one.

Now the time of the last orders stays when the incarnation changes, and a new process of the agent counts from its start.

A path with the cause of the fault before, found by reading; no play showed it. TestHoldAfterRestart failed before: "the task was not stopped".

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -272,7 +272,7 @@
 // still. Unlike that clock, the leader's counts the time that a machine is suspended.
 func (c *Core) stopExpired(now time.Time) {
 	hold := c.config.HoldTime + c.config.HoldTime/clockDriftDivisor + maxStepGap
-	if c.heldSince.IsZero() || now.Sub(c.heldSince) <= hold {
+	if now.Sub(c.heldSince) <= hold {
 		return
 	}
 	for _, key := range c.sortedRuns() {
--- a/internal/runner/recut_test.go
+++ b/internal/runner/recut_test.go
@@ -49,3 +49,27 @@
 		t.Errorf("tasks given up after %v", age)
 	}
 }
+
+// TestHoldAfterRestart guards against tasks of the next incarnation that are never stopped, though
+// the hold of the leader's last orders has passed: none came since the restart.
+func TestHoldAfterRestart(t *testing.T) {
+	h := newHarness(t)
+	h.restartWithFirst()
+	listed := h.now
+	for h.now.Sub(listed) < maxLease {
+		h.wait(50 * time.Millisecond)
+		if _, ok := find[runner.StopTask](h); ok {
+			if age := h.now.Sub(listed); age > 7*time.Second {
+				t.Errorf("stopped after %v", age)
+			}
+			return
+		}
+		if renewal, ok := find[runner.RenewLease](h); ok {
+			h.step(runner.RenewLeaseResult{
+				Call: renewal, Answer: runner.Accepted, Clock: 200 + runner.Clock(h.now.Sub(listed).Milliseconds()),
+				Tasks: []control.Task{{ID: start(1).Task, Run: 1, Phase: control.Running}},
+			})
+		}
+	}
+	t.Error("the task was not stopped")
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -199,7 +199,8 @@
 		requestedUntil Clock
 
 		// heldSince is when the report was sent that the last orders answer, by the
-		// agent's own clock, or the zero time if there are none.
+		// agent's own clock, or when the agent began if there are none. It holds for
+		// any incarnation of the runner.
 		heldSince time.Time
 		tasks     map[runKey]*task
 		results   map[control.ResultID]control.Result
@@ -299,6 +300,9 @@
 // must not decrease.
 func (c *Core) Step(now time.Time, event any) []any {
 	c.effects = nil
+	if c.steppedAt.IsZero() {
+		c.heldSince = now
+	}
 	c.noteGap(now)
 	switch e := event.(type) {
 	case Heartbeat:
@@ -341,7 +345,7 @@
 func (c *Core) resetRunner() {
 	c.runner, c.successor = nil, nil
 	c.listComplete, c.runnerGone, c.departing, c.restarted = false, false, false, false
-	c.heartbeatSeq, c.heldUntil, c.requestedUntil, c.heldSince = 0, 0, 0, time.Time{}
+	c.heartbeatSeq, c.heldUntil, c.requestedUntil = 0, 0, 0
 	c.renewing, c.listRequest, c.refusedSince = false, 0, time.Time{}
 	c.answered = false
 	c.acked, c.ackForwarded = 0, 0
