Report a lease that may outlast the hold to the leader

What operators may see: two runs of a task at once. A leader gives up an agent that it does not hear from after 7.6 s. The agent stops its tasks before that, unless its process was killed, or is cut off from its runner as well; then the tasks run to the end of their lease, which may be 10 s after the runner was started again.

Now an agent reports for how long such a lease may last, for 10.2 s from the first list of an incarnation, and the leader waits that long. A leader that has had no report of the agent since still waits for 7.6 s.

TestLeaseOutlastsHold failed before: "the task starts elsewhere after 7.7s".

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -150,6 +150,10 @@
 		// down, another runner answers at its address, or it did not
 		// answer until its lease had expired.
 		RunnerGone bool `cbor:"12,keyasint,omitempty"`
+
+		// Lease is for how long from now tasks may run on without orders, if their lease
+		// may outlast the hold of the last orders.
+		Lease time.Duration `cbor:"13,keyasint,omitempty"`
 	}
 
 	// Start is the order to start a run of a task.
--- a/internal/region/hold_test.go
+++ b/internal/region/hold_test.go
@@ -38,3 +38,28 @@
 		}
 	}
 }
+
+// TestLeaseOutlastsHold guards against a task that starts elsewhere while it runs: its runner has
+// a longer lease than the leader's orders allow, from a call for a former incarnation.
+func TestLeaseOutlastsHold(t *testing.T) {
+	const lease = 10 * time.Second
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("j1", 1, 8))
+	h.report("a", nil)
+	h.report("a", func(r *control.Report) {
+		r.Lease, r.Tasks = lease, []control.Task{{ID: taskOf("j1", 0), Run: h.runs[taskOf("j1", 0)], Phase: control.Running}}
+	})
+	began := h.now
+	for h.now.Sub(began) < 2*lease {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.join("b")
+		if len(h.report("b", nil).Starts) > 0 {
+			if age := h.now.Sub(began); age < lease {
+				t.Errorf("the task starts elsewhere after %v", age)
+			}
+			return
+		}
+	}
+	t.Error("the task does not start elsewhere")
+}
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -200,7 +200,7 @@
 	c.now = now
 	c.finishTakeover(now)
 	for _, w := range c.sortedWorkers() {
-		if !w.lost && now.After(w.holdExpiry) {
+		if !w.lost && now.After(w.holdExpiry) && now.After(w.leaseExpiry) {
 			c.markLost(now, w, "silent")
 		}
 	}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -46,7 +46,10 @@
 		// holdExpiry is when the hold of every task on the worker has expired,
 		// unless the agent is sent new orders before.
 		holdExpiry time.Time
-		lost       bool
+
+		// leaseExpiry is until when tasks on the worker may run on after their hold.
+		leaseExpiry time.Time
+		lost        bool
 
 		// applied are the last orders that the agent's present incarnation has applied.
 		// unapplied counts the answers with orders since it reported that, of which the
@@ -191,6 +194,9 @@
 		w.markOrdersPending()
 	}
 	w.runnerUnknown = r.Runner == nil
+	if expiry := now.Add(r.Lease); r.Lease > 0 && expiry.After(w.leaseExpiry) {
+		w.leaseExpiry = expiry
+	}
 	c.noteApplied(w, r)
 	if w.lost && !w.runnerUnknown && !r.RunnerGone {
 		w.lost, w.unapplied = false, 0
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -63,6 +63,7 @@
 	// was meant for the former incarnation: by the clock of this one, which has begun anew, its
 	// lease has no end, and the runner grants the longest one.
 	c.requestedUntil = clock + Clock(c.config.MaxLease/time.Millisecond)
+	c.strayLease = now.Add(c.config.MaxLease + c.config.MaxLease/clockDriftDivisor)
 }
 
 // requestNewList says that the tasks are not known until a list has arrived that is
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -328,7 +328,7 @@
 	c.inFlightTo[to]++
 	c.seq++
 	c.reportedAt = now
-	c.effects = append(c.effects, Send{To: to, Report: c.buildReport(), Sent: now})
+	c.effects = append(c.effects, Send{To: to, Report: c.buildReport(now), Sent: now})
 }
 
 // nextSearchGate returns the next gate to ask for the leader, one without a report in
@@ -345,7 +345,7 @@
 }
 
 // buildReport returns a report of the agent's whole state.
-func (c *Core) buildReport() control.Report {
+func (c *Core) buildReport(now time.Time) control.Report {
 	r := control.Report{
 		Agent: c.id, Incarnation: c.incarnation, Seq: c.seq, Epoch: c.epoch, Applied: c.applied,
 		Complete: c.listComplete, RunnerGone: c.runnerGone, Wait: c.reportWait,
@@ -353,6 +353,7 @@
 	if c.runner != nil {
 		runner := *c.runner
 		r.Runner = &runner
+		r.Lease = max(c.strayLease.Sub(now), 0)
 	}
 	for _, key := range c.sortedRuns() {
 		t := c.tasks[key]
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -198,6 +198,10 @@
 		heldUntil      Clock
 		requestedUntil Clock
 
+		// strayLease is until when a lease may last that a call for a former incarnation
+		// gave to the present one.
+		strayLease time.Time
+
 		// heldSince is when the report was sent that the last orders answer, by the
 		// agent's own clock, or when the agent began if there are none. It holds for
 		// any incarnation of the runner.
