Acknowledge results only right after a list of the runner

What operators may see: a task runs again after its result was acknowledged (TWICE in the soak). The result was listed to nobody.

Cause: results are counted from 1 in each incarnation of a runner. An acknowledgement went with the next renewal, up to half a second after the last answer. If the runner started again in between, its next incarnation carried it out, and dropped its own first results when it was cut off before it could list them. Now an acknowledgement goes only within 10 ms after a list; else the runner is asked for one first. A list that lacks rows does not delay it.

What remains is the time between the list and the call.

TestAcknowledgeAfterList failed before: the first renewal 30 ms after the list had the acknowledgement, so that no second one followed ("no RenewLease"). TestPartialFirstList expects one list more before the acknowledgement.

--- a/internal/runner/acknowledge_test.go
+++ b/internal/runner/acknowledge_test.go
@@ -66,3 +66,22 @@
 		}
 	}
 }
+
+// TestAcknowledgeAfterList guards against an acknowledgement that is sent long after the last list,
+// so that the next incarnation of the runner may carry it out.
+func TestAcknowledgeAfterList(t *testing.T) {
+	h := newHarness(t)
+	call := h.startFirst()
+	renewal := must[runner.RenewLease](h)
+	h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+	result := control.Result{ID: 57, Task: start(1).Task, Run: 1, Outcome: control.Done}
+	h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: 5000, Results: []control.Result{result}})
+	report := must[runner.Send](h)
+	h.now = h.now.Add(30 * time.Millisecond)
+	h.sendOrders(report, func(o *control.Orders) { o.Acked = 57 })
+	list := must[runner.RenewLease](h)
+	h.sendList(list)
+	if acknowledge := must[runner.RenewLease](h); list.Acked != 0 || list.Wait != 0 || acknowledge.Acked != 57 {
+		t.Errorf("acknowledged %d after %v, then %d, want none at once and then 57", list.Acked, list.Wait, acknowledge.Acked)
+	}
+}
--- a/internal/runner/partial_test.go
+++ b/internal/runner/partial_test.go
@@ -52,6 +52,7 @@
 	}
 	h.sendOrders(send, func(o *control.Orders) { o.Acked = 1 })
 	h.wait(time.Second)
+	h.sendPartialList(must[runner.RenewLease](h))
 	renewal := must[runner.RenewLease](h)
 	if renewal.Acked != 1 || renewal.Until == 0 {
 		t.Errorf("renewal %+v", renewal)
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -8,6 +8,10 @@
 	"github.com/lovageroad/lovageroad/internal/control"
 )
 
+// ackFreshness is the age of a list up to which its runner is taken not to have started again,
+// so that it may get an acknowledgement.
+const ackFreshness = 10 * time.Millisecond
+
 // onRenewLeaseResult handles the runner's answer to a lease renewal.
 func (c *Core) onRenewLeaseResult(now time.Time, e RenewLeaseResult) {
 	if callee, ok := c.callee(); !ok || callee != e.Call.Runner {
@@ -55,7 +59,7 @@
 		c.runnerGone, c.listComplete, c.reportDue = false, !e.Partial, true
 	}
 	c.listRequest = e.Call.Number
-	if c.departing || e.Partial {
+	if (c.departing || e.Partial) && c.acked <= c.ackForwarded {
 		c.nextRenewal = now.Add(renewalRetry)
 	}
 	for _, end := range e.Results {
@@ -135,21 +139,23 @@
 	if c.renewing && !urgent {
 		return
 	}
-	if !urgent && len(c.results) > 0 && now.Sub(c.listedAt) < c.config.ListInterval {
+	acknowledges := c.acked > c.ackForwarded
+	current := c.answered && now.Sub(c.listedAt) <= ackFreshness
+	if !urgent && len(c.results) > 0 && now.Sub(c.listedAt) < c.config.ListInterval && !(acknowledges && current) {
 		return
 	}
-	if !needsList && len(c.tasks) == 0 && c.ackForwarded >= c.acked {
+	if !needsList && len(c.tasks) == 0 && !acknowledges {
 		return
 	}
 	wait := c.config.ListWait
-	if needsList || len(c.tasks) == 0 {
+	if needsList || len(c.tasks) == 0 || acknowledges && !current {
 		wait = 0
 	}
-	until, acked := c.heldUntil, c.acked
-	if acked <= c.ackForwarded || !c.answered {
+	until, acked := c.heldUntil, control.ResultID(0)
+	if acknowledges && current {
 		// A runner that has started again counts its results anew. It would drop those up
 		// to the acknowledged one before it has listed them.
-		acked = 0
+		acked = c.acked
 	}
 	if now.Sub(c.lastAnswer) > c.config.AnswerTimeout {
 		until = 0
