Acknowledge results only in the step that handles a list

An acknowledgement goes now only in the step that handles a list, so that what remains is the time of the call itself. Every acknowledgement costs one list more. TestAcknowledgeAfterList asks for it 5 ms after the list now, 30 ms before, and failed so.

--- a/internal/runner/acknowledge_test.go
+++ b/internal/runner/acknowledge_test.go
@@ -77,7 +77,7 @@
 	result := control.Result{ID: 57, Task: start(1).Task, Run: 1, Outcome: control.Done}
 	h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: 5000, Results: []control.Result{result}})
 	report := must[runner.Send](h)
-	h.now = h.now.Add(30 * time.Millisecond)
+	h.now = h.now.Add(5 * time.Millisecond)
 	h.sendOrders(report, func(o *control.Orders) { o.Acked = 57 })
 	list := must[runner.RenewLease](h)
 	h.sendList(list)
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -8,10 +8,6 @@
 	"github.com/lovageroad/lovageroad/internal/control"
 )
 
-// ackFreshness is the age of a list up to which its runner is taken not to have started again,
-// so that it may get an acknowledgement.
-const ackFreshness = 10 * time.Millisecond
-
 // onRenewLeaseResult handles the runner's answer to a lease renewal.
 func (c *Core) onRenewLeaseResult(now time.Time, e RenewLeaseResult) {
 	if callee, ok := c.callee(); !ok || callee != e.Call.Runner {
@@ -140,7 +136,7 @@
 		return
 	}
 	acknowledges := c.acked > c.ackForwarded
-	current := c.answered && now.Sub(c.listedAt) <= ackFreshness
+	current := c.answered && now.Equal(c.listedAt)
 	if !urgent && len(c.results) > 0 && now.Sub(c.listedAt) < c.config.ListInterval && !(acknowledges && current) {
 		return
 	}
@@ -154,7 +150,8 @@
 	until, acked := c.heldUntil, control.ResultID(0)
 	if acknowledges && current {
 		// A runner that has started again counts its results anew. It would drop those up
-		// to the acknowledged one before it has listed them.
+		// to the acknowledged one before it has listed them, so that it gets an
+		// acknowledgement only in the step that handles its list.
 		acked = c.acked
 	}
 	if now.Sub(c.lastAnswer) > c.config.AnswerTimeout {
