List a start that may be given up too soon at a runner that is cut off

A path with the cause of the faults before, found by reading: a start without an answer may be carried out by an incarnation of the runner of which the agent never hears, with the longest lease; the agent gives the run up after 3.1 s at an idle runner, and after some 9 s at a busy one.

Tried and left out: keeping such runs for 11.7 s.

--- a/internal/runner/recut_test.go
+++ b/internal/runner/recut_test.go
@@ -73,3 +73,24 @@
 	}
 	t.Error("the task was not stopped")
 }
+
+// TestUnansweredStartAtSilentRunner guards against a run that is given up while it works: its start
+// had no answer and reached the next incarnation of a runner that is cut off.
+func TestUnansweredStartAtSilentRunner(t *testing.T) {
+	s := &slowRunner{harness: newHarness(t)}
+	s.began = s.now
+	s.sendHeartbeat(0)
+	s.sendOrders(must[runner.Send](s.harness), nil)
+	s.sendList(must[runner.RenewLease](s.harness))
+	report := must[runner.Send](s.harness)
+	for range 200 {
+		s.wait(100 * time.Millisecond)
+		s.sendHeartbeat(0)
+	}
+	report.Sent = s.now
+	s.sendOrders(report, func(o *control.Orders) { o.Starts = []control.Start{start(1)} })
+	s.step(runner.StartResult{Call: must[runner.StartTask](s.harness), Answer: runner.NoAnswer})
+	if age := s.givenUpAfter(); age < maxLease {
+		t.Errorf("run given up after %v", age)
+	}
+}
