Name constants and conditions of the changes before, no change of behaviour

Found on reading the diff: a bare number of entries, a conflict that was passed beside its error, and two names that did not say what they are.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -151,8 +151,8 @@
 		// answer until its lease had expired.
 		RunnerGone bool `cbor:"12,keyasint,omitempty"`
 
-		// Lease is for how long from now tasks may run on without orders, if their lease
-		// may outlast the hold of the last orders.
+		// Lease is how long after the report tasks may run on without orders, if their
+		// lease may outlast the hold of the last orders.
 		Lease time.Duration `cbor:"13,keyasint,omitempty"`
 	}
 
--- a/internal/region/batch.go
+++ b/internal/region/batch.go
@@ -171,7 +171,7 @@
 	if errors.As(err, &conflict) && conflict.Key == c.epochCheck.Key {
 		return false
 	}
-	c.dropEarlyCancels(b, err, conflict != nil)
+	c.dropEarlyCancels(b, err)
 	if err != nil {
 		if errors.As(err, &rejected) && rejected.Invalid {
 			c.onInvalid(b)
--- a/internal/region/cancel.go
+++ b/internal/region/cancel.go
@@ -1,15 +1,21 @@
 package region
 
 import (
+	"errors"
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/work"
 	"github.com/lovageroad/lovageroad/pkg/table"
 )
 
-// earlyCancelRetention is how long the cancellation of an unknown job is kept. It is much
-// longer than a transaction that stores the job can be on its way.
-const earlyCancelRetention = 2 * time.Minute
+const (
+	// earlyCancelRetention is how long the cancellation of an unknown job is kept. It is
+	// much longer than a transaction that stores the job can be on its way.
+	earlyCancelRetention = 2 * time.Minute
+
+	// earlyCancelEntries is the number of checks and writes by which one is removed.
+	earlyCancelEntries = 3
+)
 
 // earlyCancel is the cancellation of a job that is not known: the version of its row, and
 // when it arrived at this leader.
@@ -39,7 +45,7 @@
 // addEarlyCancels adds the removal of old cancellations of unknown jobs to a batch, as far as
 // they fit. It fails if one of the jobs has been stored.
 func (c *Core) addEarlyCancels(b *Batch) {
-	for len(c.earlyOrder) > 0 && len(b.Txn.Checks)+len(b.Txn.Writes)+3 <= maxEntries {
+	for len(c.earlyOrder) > 0 && len(b.Txn.Checks)+len(b.Txn.Writes)+earlyCancelEntries <= maxEntries {
 		id := c.earlyOrder[0]
 		cancel, ok := c.earlyCancels[id]
 		if ok && c.now.Sub(cancel.since) < earlyCancelRetention {
@@ -58,10 +64,11 @@
 
 // dropEarlyCancels forgets the cancellations that a batch has removed. Those of a batch that
 // failed are tried again, or left to the next leader if it met a conflict.
-func (c *Core) dropEarlyCancels(b *Batch, err error, conflict bool) {
+func (c *Core) dropEarlyCancels(b *Batch, err error) {
+	var conflict *table.ConflictError
 	switch {
 	case len(b.earlyCancels) == 0:
-	case conflict:
+	case errors.As(err, &conflict):
 		c.log(LogEntry{Event: "early cancellations not removed", Count: len(b.earlyCancels)})
 	case err != nil:
 		c.earlyOrder = append(b.earlyCancels, c.earlyOrder...)
--- a/internal/runner/discovery.go
+++ b/internal/runner/discovery.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// orderlessShare is the part of Config.HoldTime without orders of a leader after which
-	// the agent looks for gates, so that it finds them before the leases of its tasks end.
-	orderlessShare = 2
+	// orderlessDivisor says that the agent looks for gates after this part of Config.HoldTime
+	// without orders of a leader, so that it finds them before the leases of its tasks end.
+	orderlessDivisor = 2
 
 	// firstFindInterval is the time between two searches for gates as long as none has found
 	// any, findInterval the time between all others.
@@ -21,7 +21,7 @@
 // findGates looks for gates while no leader gives orders. Those that are known may all have
 // been replaced by others at new addresses.
 func (c *Core) findGates(now time.Time) {
-	if c.finding || now.Before(c.nextFind) || !c.ledAt.IsZero() && now.Sub(c.ledAt) <= c.config.HoldTime/orderlessShare {
+	if c.finding || now.Before(c.nextFind) || !c.ledAt.IsZero() && now.Sub(c.ledAt) <= c.config.HoldTime/orderlessDivisor {
 		return
 	}
 	if !c.ledAt.IsZero() {
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -136,19 +136,19 @@
 		return
 	}
 	acknowledges := c.acked > c.ackForwarded
-	current := c.answered && now.Equal(c.listedAt)
-	if !urgent && len(c.results) > 0 && now.Sub(c.listedAt) < c.config.ListInterval && !(acknowledges && current) {
+	justListed := c.answered && now.Equal(c.listedAt)
+	if !urgent && len(c.results) > 0 && now.Sub(c.listedAt) < c.config.ListInterval && !(acknowledges && justListed) {
 		return
 	}
 	if !needsList && len(c.tasks) == 0 && !acknowledges {
 		return
 	}
 	wait := c.config.ListWait
-	if needsList || len(c.tasks) == 0 || acknowledges && !current {
+	if needsList || len(c.tasks) == 0 || acknowledges && !justListed {
 		wait = 0
 	}
 	until, acked := c.heldUntil, control.ResultID(0)
-	if acknowledges && current {
+	if acknowledges && justListed {
 		// A runner that has started again counts its results anew. It would drop those up
 		// to the acknowledged one before it has listed them, so that it gets an
 		// acknowledgement only in the step that handles its list.
