--- a/internal/runner/acknowledge_test.go
+++ b/internal/runner/acknowledge_test.go
@@ -8,14 +8,20 @@
 	"github.com/lovageroad/lovageroad/internal/runner"
 )
 
-// TestAcknowledgeOnce guards against an acknowledgement that reaches results of the next incarnation.
-func TestAcknowledgeOnce(t *testing.T) {
-	h := newHarness(t)
+// listResult starts the first run and lists its result under a number.
+func (h *harness) listResult(id control.ResultID) {
+	h.t.Helper()
 	call := h.startFirst()
 	renewal := must[runner.RenewLease](h)
 	h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
-	result := control.Result{ID: 57, Task: start(1).Task, Run: 1, Outcome: control.Done}
+	result := control.Result{ID: id, Task: start(1).Task, Run: 1, Outcome: control.Done}
 	h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: 5000, Results: []control.Result{result}})
+}
+
+// TestAcknowledgeOnce guards against an acknowledgement that reaches results of the next incarnation.
+func TestAcknowledgeOnce(t *testing.T) {
+	h := newHarness(t)
+	h.listResult(57)
 	h.sendOrders(must[runner.Send](h), func(o *control.Orders) {
 		o.Acked = 57
 		o.Starts = []control.Start{start(2)}
@@ -51,11 +57,7 @@
 		"announced end": func(h *harness, _ runner.RenewLease) { h.step(runner.Gone{ID: self}) },
 	} {
 		h := newHarness(t)
-		call := h.startFirst()
-		renewal := must[runner.RenewLease](h)
-		h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
-		result := control.Result{ID: 57, Task: start(1).Task, Run: 1, Outcome: control.Done}
-		h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: 5000, Results: []control.Result{result}})
+		h.listResult(57)
 		h.sendOrders(must[runner.Send](h), func(o *control.Orders) { o.Acked = 57 })
 		trouble(h, must[runner.RenewLease](h))
 		for range 20 {
@@ -71,11 +73,7 @@
 // so that the next incarnation of the runner may carry it out.
 func TestAcknowledgeAfterList(t *testing.T) {
 	h := newHarness(t)
-	call := h.startFirst()
-	renewal := must[runner.RenewLease](h)
-	h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
-	result := control.Result{ID: 57, Task: start(1).Task, Run: 1, Outcome: control.Done}
-	h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.Accepted, Clock: 5000, Results: []control.Result{result}})
+	h.listResult(57)
 	report := must[runner.Send](h)
 	h.now = h.now.Add(5 * time.Millisecond)
 	h.sendOrders(report, func(o *control.Orders) { o.Acked = 57 })
--- a/internal/runner/clock_test.go
+++ b/internal/runner/clock_test.go
@@ -20,6 +20,17 @@
 	lease runner.Clock
 }
 
+// newSlowRunner returns a runner that has listed that it has no tasks, and the agent's next report.
+func newSlowRunner(t *testing.T) (*slowRunner, runner.Send) {
+	t.Helper()
+	s := &slowRunner{harness: newHarness(t)}
+	s.began = s.now
+	s.sendHeartbeat(0)
+	s.sendOrders(must[runner.Send](s.harness), nil)
+	s.sendList(must[runner.RenewLease](s.harness))
+	return s, must[runner.Send](s.harness)
+}
+
 func (s *slowRunner) clock() runner.Clock {
 	return 5000 + runner.Clock(float64(s.now.Sub(s.began).Milliseconds())*slowClock)
 }
@@ -46,12 +57,7 @@
 func TestLeaseAfterIdleTime(t *testing.T) {
 	const hold = 6 * time.Second
 	for _, idle := range []time.Duration{0, 10 * time.Second, 80 * time.Second, 300 * time.Second, time.Hour} {
-		s := &slowRunner{harness: newHarness(t)}
-		s.began = s.now
-		s.sendHeartbeat(0)
-		s.sendOrders(must[runner.Send](s.harness), nil)
-		s.sendList(must[runner.RenewLease](s.harness))
-		report := must[runner.Send](s.harness)
+		s, report := newSlowRunner(t)
 		for end := s.now.Add(idle); s.now.Before(end); {
 			s.sendOrders(report, nil)
 			s.wait(time.Second)
--- a/internal/runner/recut_test.go
+++ b/internal/runner/recut_test.go
@@ -77,12 +77,7 @@
 // TestUnansweredStartAtSilentRunner guards against a run that is given up while it works: its start
 // had no answer and reached the next incarnation of a runner that is cut off.
 func TestUnansweredStartAtSilentRunner(t *testing.T) {
-	s := &slowRunner{harness: newHarness(t)}
-	s.began = s.now
-	s.sendHeartbeat(0)
-	s.sendOrders(must[runner.Send](s.harness), nil)
-	s.sendList(must[runner.RenewLease](s.harness))
-	report := must[runner.Send](s.harness)
+	s, report := newSlowRunner(t)
 	for range 200 {
 		s.wait(100 * time.Millisecond)
 		s.sendHeartbeat(0)
--- a/internal/runner/suspension_test.go
+++ b/internal/runner/suspension_test.go
@@ -19,12 +19,7 @@
 // startedRunner returns a runner with a task and the agent's next report.
 func startedRunner(t *testing.T) (*slowRunner, runner.Send) {
 	t.Helper()
-	s := &slowRunner{harness: newHarness(t)}
-	s.began = s.now
-	s.sendHeartbeat(0)
-	s.sendOrders(must[runner.Send](s.harness), nil)
-	s.sendList(must[runner.RenewLease](s.harness))
-	report := must[runner.Send](s.harness)
+	s, report := newSlowRunner(t)
 	s.sendOrders(report, func(o *control.Orders) { o.Starts = []control.Start{start(1)} })
 	s.runStart()
 	return s, report
