--- a/internal/region/reconcile.go
+++ b/internal/region/reconcile.go
@@ -48,6 +48,7 @@
 		p.reported = true
 		w.onStartSettled()
 	}
+	p.confirmed = p.confirmed || r.Phase == control.Running
 	j, s, t := c.find(r.ID)
 	if t == nil || t.worker != w || t.run != r.Run {
 		return
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -245,6 +245,11 @@
 	}
 	c.takeoverDone = true
 	c.replan = true
+	for _, w := range c.sortedWorkers() {
+		if w.awaitingReport {
+			c.log(LogEntry{Event: "agent not listed", Worker: w.id, EpochAge: now.Sub(c.began)})
+		}
+	}
 	c.log(LogEntry{Event: "settled", Epoch: c.epoch, Age: now.Sub(c.began), Count: awaited})
 	c.stopPartialGangs(now)
 }
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,8 +22,11 @@
 		incarnations []control.Incarnation
 		fence        uint16
 		reportSeq    uint64
-		ordersSeq    control.OrdersSeq
-		runner       *control.Runner
+
+		// heardAt is when the last report was applied, or the worker added.
+		heardAt   time.Time
+		ordersSeq control.OrdersSeq
+		runner    *control.Runner
 
 		// listComplete and runnerGone are Complete and RunnerGone of the last report
 		// about the runner.
@@ -85,12 +89,14 @@
 	}
 
 	// placement is a run of a task that uses capacity of a worker, or may be using
-	// it. reported says that the runner has listed the run, orphaned that the run
-	// is to be stopped because its task is not placed there.
+	// it. reported says that the agent has reported the run, confirmed that the runner has
+	// accepted or listed it, orphaned that the run is to be stopped because its task is
+	// not placed there.
 	placement struct {
-		run      work.Run
-		request  work.Resources
-		reported bool
+		run       work.Run
+		request   work.Resources
+		reported  bool
+		confirmed bool
 
 		// sentSeq is the sequence number of the first orders to the agent's present
 		// incarnation that contained the start. It is 0 if there are none.
@@ -133,7 +139,7 @@
 
 // newWorker adds a worker whose hold starts now.
 func (c *Core) newWorker(now time.Time, id control.AgentID) *worker {
-	w := &worker{id: id, placements: make(map[work.TaskID]*placement), holdExpiry: now.Add(c.holdTimeout())}
+	w := &worker{id: id, heardAt: now, placements: make(map[work.TaskID]*placement), holdExpiry: now.Add(c.holdTimeout())}
 	w.row.key = AgentPrefix + table.Key(id)
 	c.workers[id] = w
 	return w
@@ -189,7 +195,7 @@
 		c.logReport(now, "agent joined", w, r, "")
 		w.startIncarnation(fence)
 	}
-	w.reportSeq = r.Seq
+	w.reportSeq, w.heardAt = r.Seq, now
 	if w.runnerUnknown && r.Runner != nil || w.runnerGone && !r.RunnerGone {
 		w.markOrdersPending()
 	}
@@ -310,10 +316,22 @@
 func (c *Core) markLost(now time.Time, w *worker, reason string) {
 	w.lost, w.unproven = true, true
 	w.listComplete, w.awaitingReport = false, false
-	c.log(LogEntry{Event: "worker lost", Worker: w.id, Outcome: reason, Count: len(w.placements)})
+	c.log(LogEntry{Event: "worker lost", Worker: w.id, Outcome: reason, Age: now.Sub(w.heardAt), Count: len(w.placements), Detail: fmt.Sprintf("%d unconfirmed", w.unconfirmed())})
 	c.removeAllRuns(now, w)
 }
 
+// unconfirmed returns how many runs on the worker the runner may have got or may still
+// get without the leader's knowledge.
+func (w *worker) unconfirmed() int {
+	n := 0
+	for _, p := range w.placements {
+		if !p.confirmed {
+			n++
+		}
+	}
+	return n
+}
+
 // removeAllRuns makes all tasks of a worker wait again.
 func (c *Core) removeAllRuns(now time.Time, w *worker) {
 	for _, id := range w.taskIDs() {
--- a/internal/runner/events.go
+++ b/internal/runner/events.go
@@ -31,11 +31,13 @@
 		Until  Clock
 	}
 
-	// StartResult is the event that answers a StartTask.
+	// StartResult is the event that answers a StartTask. Clock is the time on the
+	// runner's clock, nil if the answer has none.
 	StartResult struct {
 		Call   StartTask
 		Answer Answer
 		Reason string
+		Clock  *Clock
 	}
 
 	// StopTask is the effect that tells the runner to stop a task.
--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -64,6 +64,7 @@
 	// lease has no end, and the runner grants the longest one.
 	c.requestedUntil = clock + Clock(c.config.MaxLease/time.Millisecond)
 	c.strayLease = now.Add(c.config.MaxLease + c.config.MaxLease/clockDriftDivisor)
+	c.log("longest lease assumed", "runner", next.Runner.ID.Name, "born", next.Runner.ID.Incarnation, "clock", clock, "until", c.requestedUntil)
 }
 
 // requestNewList says that the tasks are not known until a list has arrived that is
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -200,7 +200,7 @@
 
 // sendStart tells the runner to start a task.
 func (c *Core) sendStart(now time.Time, t *task) {
-	t.token = c.nextToken()
+	t.token, t.sentAt = c.nextToken(), now
 	until := min(c.heldUntil, c.runnerNow(now)+Clock(startValidity/time.Millisecond))
 	c.requestedUntil = max(c.requestedUntil, until)
 	c.log("start sent", "task", t.start.Task.String(), "run", t.start.Run, "token", t.token, "until", until,
@@ -216,6 +216,9 @@
 		return
 	}
 	c.recordContact(now, e.Answer)
+	if e.Clock != nil && *e.Clock < c.runnerNow(t.sentAt) {
+		c.log("clock fell back", "task", key.task.String(), "run", key.run, "clock", *e.Clock, "estimated", c.runnerNow(t.sentAt), "answer", e.Answer)
+	}
 	switch e.Answer {
 	case Accepted:
 		t.phase, t.confirmedAt = control.Running, now
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -246,6 +246,9 @@
 		start control.Start
 		phase control.Phase
 
+		// sentAt is when the start was sent last.
+		sentAt time.Time
+
 		// confirmedAt is when the runner confirmed the start. A list that was
 		// asked for before need not contain the task.
 		confirmedAt time.Time
