Tests that fail: runs given up before the longest lease has expired

The tests fail on the code as it is:

- TestTakeoverUnresponsiveAgent: the second run comes 7.6 s after the epoch began.
The test was wrong in two ways: it took the hold for the longest time that a run may last, and its check while it waited could not fail, since another job kept the worker.
It now asks for no start within the longest lease by a slow clock, 10.2 s, on an idle worker, and for one within 2 s after that.
- TestUnconfirmedStartAtLostWorker: the second run comes 7.7 s after the last report.
- TestStartAnsweredByNextIncarnation: a start that a clock far behind has answered counts as confirmed.

--- a/internal/region/hold_test.go
+++ b/internal/region/hold_test.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/work"
 )
 
+// slowestLease is the longest lease of a runner, 10 s by a clock that is slow by 2 %.
+const slowestLease = 10200 * time.Millisecond
+
 // TestIdleAnswersHold guards against idle answers that are too old to renew the lease of tasks.
 func TestIdleAnswersHold(t *testing.T) {
 	for _, agents := range []int{11, 180, 680} {
@@ -63,3 +67,33 @@
 	}
 	t.Error("the task does not start elsewhere")
 }
+
+// TestUnconfirmedStartAtLostWorker guards against a task that starts elsewhere while it runs: its
+// start reached the next incarnation of a runner, and nothing is heard of the agent since.
+func TestUnconfirmedStartAtLostWorker(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.submit(gpuJob("confirmed", 1, 4))
+	h.submit(gpuJob("unconfirmed", 1, 4))
+	h.report("a", nil)
+	h.report("a", func(r *control.Report) {
+		r.Tasks = []control.Task{
+			{ID: taskOf("confirmed", 0), Run: 1, Phase: control.Running}, {ID: taskOf("unconfirmed", 0), Run: 1, Phase: control.Starting},
+		}
+	})
+	moved := make(map[work.JobID]time.Duration)
+	for began := h.now; h.now.Sub(began) < finish; h.now = h.now.Add(100 * time.Millisecond) {
+		h.join("b")
+		for _, start := range h.report("b", nil).Starts {
+			if _, ok := moved[start.Task.Job]; !ok {
+				moved[start.Task.Job] = h.now.Sub(began)
+			}
+		}
+	}
+	if age := moved["unconfirmed"]; age < slowestLease {
+		t.Errorf("the unconfirmed task starts elsewhere after %v", age)
+	}
+	if age := moved["confirmed"]; age == 0 || age > 8*time.Second {
+		t.Errorf("the confirmed task starts elsewhere after %v", age)
+	}
+}
--- a/internal/region/takeover_test.go
+++ b/internal/region/takeover_test.go
@@ -55,7 +55,7 @@
 
 // TestTakeoverUnresponsiveAgent has an agent that may be running tasks of the
 // former leader and does not report. Tasks accepted before the takeover must not
-// start elsewhere until the agent's hold has expired.
+// start elsewhere while the longest lease may last that its runner may have.
 func TestTakeoverUnresponsiveAgent(t *testing.T) {
 	h := newHarness(t)
 	h.join("a")
@@ -71,15 +71,15 @@
 	if orders := h.report("a", nil); len(orders.Starts) != 1 || orders.Starts[0].Task.Job != "j2" {
 		t.Errorf("starts %v, want the job accepted since", orders.Starts)
 	}
-	h.advance(5*time.Second, "a")
-	if h.runs[taskOf("j1", 0)] != 0 {
-		t.Error("started before the hold had expired")
-	}
 	h.core.Cancel(h.now, "j2", 9)
 	delete(h.runs, taskOf("j2", 0))
-	h.advance(4*time.Second, "a")
+	h.advance(slowestLease, "a")
+	if h.runs[taskOf("j1", 0)] != 0 {
+		t.Error("started before the lease had expired")
+	}
+	h.advance(2*time.Second, "a")
 	if h.runs[taskOf("j1", 0)] == 0 {
-		t.Error("not started after the hold had expired")
+		t.Error("not started after the lease had expired")
 	}
 }
 
--- a/internal/runner/recut_test.go
+++ b/internal/runner/recut_test.go
@@ -89,3 +89,18 @@
 		t.Errorf("run given up after %v", age)
 	}
 }
+
+// TestStartAnsweredByNextIncarnation guards against a run that counts as confirmed, and its lease as
+// usual, though the next incarnation has answered the start and given it the longest lease.
+func TestStartAnsweredByNextIncarnation(t *testing.T) {
+	h := newHarness(t)
+	call := h.startFirst()
+	clock := runner.Clock(100)
+	h.step(runner.StartResult{Call: call, Answer: runner.Accepted, Clock: &clock})
+	if send, ok := find[runner.Send](h); ok && send.Report.Tasks[0].Phase == control.Running {
+		t.Errorf("reported as running: %+v", send.Report.Tasks)
+	}
+	if list := must[runner.RenewLease](h); list.Token <= call.Token {
+		t.Errorf("list requested with token %d after token %d", list.Token, call.Token)
+	}
+}
