Wait for the longest lease when a new leader has not heard from an agent

Cause: a new leader waited 7.62 s for the tasks of an agent that had not listed them: the hold of the former leader's orders by a slow clock. A call for the former incarnation of a runner gives the next one the longest lease, 10 s. The former leader knew that from the agent's report; its successor does not know it, nor does it know of a start that was on its way.

Change: takeover ends, and an agent that an earlier leader knew is given up, once the longest lease by a slow clock and the age of orders have passed, 11.7 s. Jobs that are accepted since start at once as before. An agent that lists is waited for as before.

TestTakeoverUnresponsiveAgent failed before and passes. TestHoldBeforeList waited 8 s for a second run after the takeover; it now waits for the longest lease and asks for as much.

Ruled out: a row that says which runners have the longest lease. It would not cover a start that reaches the next incarnation after the leader's last write.

--- a/internal/region/record.go
+++ b/internal/region/record.go
@@ -88,6 +88,7 @@
 		w := c.newWorker(now, control.AgentID(row.Key[len(AgentPrefix):]))
 		w.row.version = row.Version
 		w.awaitingReport = true
+		w.holdExpiry = now.Add(c.leaseTimeout())
 	}
 	byJob := make(map[work.JobID]Record, len(records))
 	versions := make(map[work.JobID]table.Version, len(records))
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -22,8 +22,8 @@
 	// runs of a task than that.
 	runsPerEpoch = 1000
 
-	// clockDriftFactor is how much longer Config.HoldTime may last on a runner whose
-	// clock is slow by 2 percent, as the runner protocol allows.
+	// clockDriftFactor is how much longer Config.HoldTime or Config.MaxLease may last on a
+	// runner whose clock is slow by 2 percent, as the runner protocol allows.
 	clockDriftFactor = 1.02
 )
 
@@ -34,6 +34,10 @@
 		// their agent.
 		HoldTime time.Duration
 
+		// MaxLease is the longest lease that a runner grants. A call for a former
+		// incarnation of a runner may give the present one that lease.
+		MaxLease time.Duration
+
 		// MaxOrdersAge is the longest time between an agent sending a report and acting
 		// on the orders that answer it.
 		MaxOrdersAge time.Duration
@@ -148,6 +152,11 @@
 	return func(c *Config) { c.HoldTime = hold }
 }
 
+// WithMaxLease sets the longest lease that a runner grants.
+func WithMaxLease(lease time.Duration) Option {
+	return func(c *Config) { c.MaxLease = lease }
+}
+
 // WithGangWait sets how long a member of a gang waits for the others.
 func WithGangWait(wait time.Duration) Option {
 	return func(c *Config) { c.GangWait = wait }
@@ -162,7 +171,7 @@
 // once a later epoch has begun; initialVersion is the table's version at the
 // beginning.
 func New(now time.Time, epoch lease.Epoch, epochCheck table.Check, initialVersion table.Version, current *configuration.Configuration, options ...Option) *Core {
-	config := Config{HoldTime: 6 * time.Second, MaxOrdersAge: 1500 * time.Millisecond, RefusalBackoff: 300 * time.Millisecond, GangWait: 3 * time.Second, Retention: DefaultRetention, RowBytes: DefaultRowBytes}
+	config := Config{HoldTime: 6 * time.Second, MaxLease: 10 * time.Second, MaxOrdersAge: 1500 * time.Millisecond, RefusalBackoff: 300 * time.Millisecond, GangWait: 3 * time.Second, Retention: DefaultRetention, RowBytes: DefaultRowBytes}
 	for _, option := range options {
 		option(&config)
 	}
@@ -227,9 +236,9 @@
 }
 
 // finishTakeover ends the takeover once each agent that an earlier leader knew
-// has listed its tasks to this leader or is lost, or once the holds of earlier
-// leaders have expired. Until then an agent may be running tasks that this
-// leader does not know of.
+// has listed its tasks to this leader or is lost, or once all leases that runners
+// had under earlier leaders have expired. Until then an agent may be running tasks
+// that this leader does not know of.
 func (c *Core) finishTakeover(now time.Time) {
 	if c.takeoverDone {
 		return
@@ -240,7 +249,7 @@
 			awaited++
 		}
 	}
-	if awaited > 0 && now.Before(c.began.Add(c.holdTimeout())) {
+	if awaited > 0 && now.Before(c.began.Add(c.leaseTimeout())) {
 		return
 	}
 	c.takeoverDone = true
@@ -260,3 +269,9 @@
 func (c *Core) holdTimeout() time.Duration {
 	return time.Duration(float64(c.config.HoldTime)*clockDriftFactor) + c.config.MaxOrdersAge
 }
+
+// leaseTimeout is the longest time for which a task can still run after a leader's last
+// orders to its agent, if the lease of its runner is not known.
+func (c *Core) leaseTimeout() time.Duration {
+	return max(time.Duration(float64(c.config.MaxLease)*clockDriftFactor)+c.config.MaxOrdersAge, c.holdTimeout())
+}
--- a/internal/region/two_leaders_test.go
+++ b/internal/region/two_leaders_test.go
@@ -269,7 +269,7 @@
 	for range 2 {
 		b.step(b.apply(s.core, b.take()))
 	}
-	for end := s.now.Add(8 * time.Second); s.now.Before(end); {
+	for end := s.now.Add(slowestLease); s.now.Before(end); {
 		b.tick(100 * time.Millisecond)
 		s.exchange(s.core, "a")
 		if got := s.runsOf(task); got > 1 {
@@ -277,7 +277,7 @@
 		}
 	}
 	if got := s.runsOf(task); got != 1 {
-		t.Errorf("%d runs of the task after the hold, want 1", got)
+		t.Errorf("%d runs of the task after the longest lease, want 1", got)
 	}
 }
 
--- a/internal/serve/gate.go
+++ b/internal/serve/gate.go
@@ -83,6 +83,9 @@
 		// its agent.
 		HoldTime time.Duration
 
+		// MaxLease is the longest lease that a runner grants.
+		MaxLease time.Duration
+
 		// GangWait is how long a member of a gang waits for the other members.
 		GangWait time.Duration
 
--- a/internal/serve/leader.go
+++ b/internal/serve/leader.go
@@ -141,7 +141,7 @@
 			continue
 		}
 		core := region.New(startedAt, l.epoch, l.epochCheck, l.epochCheck.Version, current,
-			region.WithHoldTime(l.gate.config.HoldTime), region.WithGangWait(l.gate.config.GangWait), region.WithRetention(l.gate.config.Retention), region.WithPlanInterval(planInterval),
+			region.WithHoldTime(l.gate.config.HoldTime), region.WithMaxLease(l.gate.config.MaxLease), region.WithGangWait(l.gate.config.GangWait), region.WithRetention(l.gate.config.Retention), region.WithPlanInterval(planInterval),
 			region.WithRowBytes(cmp.Or(l.gate.config.RowBytes, region.DefaultRowBytes)))
 		core.SetLog(l.logEntry)
 		core.SetWallClockOffset(l.gate.wallClockOffset())
