Keep unconfirmed starts at a lost worker for the longest lease

Cause: the same as at a takeover, with the leader in place. A leader gives an agent up 7.62 s after its last orders, or later if the agent has reported a longer lease. A start that it has ordered and that the agent has not confirmed may have reached the next incarnation of the runner, which then has the longest lease; the agent could not report that before it was lost.

Change: a run that was not confirmed stays placed for 11.7 s after its start was ordered last; it is ordered to stop meanwhile, so that an agent that comes back and does not have it refuses it at once. Confirmed runs are given up as before. Lists that are not complete confirm the runs that they have.

Evidence: TestUnconfirmedStartAtLostWorker failed before (7.7 s) and passes; it also asks that the confirmed task moves within 8 s. TestAgentThatAppliesNothing passes unchanged.

Ruled out: to start such a run again at an agent that comes back. An agent that applies no orders would keep the task for ever.

--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -93,6 +93,7 @@
 			if p.sentSeq == 0 {
 				p.sentSeq = w.ordersSeq
 			}
+			p.startExpiry = now.Add(c.leaseTimeout())
 		}
 	}
 	return orders
--- a/internal/region/reconcile.go
+++ b/internal/region/reconcile.go
@@ -48,7 +48,9 @@
 		p.reported = true
 		w.onStartSettled()
 	}
-	p.confirmed = p.confirmed || r.Phase == control.Running
+	if p.startExpiry.IsZero() {
+		p.startExpiry = now.Add(c.leaseTimeout())
+	}
 	j, s, t := c.find(r.ID)
 	if t == nil || t.worker != w || t.run != r.Run {
 		return
@@ -79,7 +81,7 @@
 func (c *Core) addUnordered(now time.Time, w *worker, r control.Task) *placement {
 	c.addReported(now, r.ID)
 	j, _, t := c.find(r.ID)
-	p := &placement{run: r.Run, orphaned: true}
+	p := &placement{run: r.Run, confirmed: r.Phase == control.Running, orphaned: true}
 	if j != nil && r.ID.Step >= 0 && r.ID.Step < len(j.Job.Steps) {
 		p.request = j.Job.Steps[r.ID.Step].Request()
 	}
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -212,6 +212,9 @@
 		if !w.lost && now.After(w.holdExpiry) && now.After(w.leaseExpiry) {
 			c.markLost(now, w, "silent")
 		}
+		if w.startsAbandoned {
+			c.expireStarts(now, w)
+		}
 	}
 	for _, j := range c.liveJobs {
 		c.advance(now, j)
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -64,6 +64,10 @@
 		unappliedSince time.Time
 		unproven       bool
 
+		// startsAbandoned says that there may be runs whose starts were not confirmed before
+		// the agent was lost.
+		startsAbandoned bool
+
 		// runnerUnknown says that the agent doesn't know its runner, so that it
 		// can't renew the leases of the tasks there.
 		runnerUnknown bool
@@ -98,6 +102,10 @@
 		reported  bool
 		confirmed bool
 
+		// startExpiry is when the run has ended if it was never confirmed, or the zero
+		// time if no start of it was ordered or reported.
+		startExpiry time.Time
+
 		// sentSeq is the sequence number of the first orders to the agent's present
 		// incarnation that contained the start. It is 0 if there are none.
 		sentSeq  control.OrdersSeq
@@ -158,8 +166,8 @@
 	if w.awaitingReport {
 		return true
 	}
-	closed := w.runnerGone || w.runner != nil && w.runner.Draining
-	return !w.lost && !(closed && len(w.placements) == 0)
+	closed := w.lost || w.runnerGone || w.runner != nil && w.runner.Draining
+	return !closed || len(w.placements) > 0
 }
 
 // Report applies an agent's report. It returns false if it ignores the report: one
@@ -292,6 +300,7 @@
 		w.listComplete = r.Complete
 		c.replan = true
 	}
+	w.confirm(r.Tasks)
 	if r.Complete {
 		c.reconcileTasks(now, w, r)
 	}
@@ -300,6 +309,15 @@
 	}
 }
 
+// confirm records which runs the runner has accepted or listed.
+func (w *worker) confirm(tasks []control.Task) {
+	for _, t := range tasks {
+		if p := w.placements[t.ID]; p != nil && p.run == t.Run && t.Phase == control.Running {
+			p.confirmed = true
+		}
+	}
+}
+
 // replaceRunner handles the first runner of an agent, or another incarnation of its
 // runner: the tasks of the former one no longer run.
 func (c *Core) replaceRunner(now time.Time, w *worker, r control.Report) {
@@ -312,12 +330,41 @@
 	c.replan = true
 }
 
-// markLost gives up a worker whose hold has expired, and all its tasks.
+// markLost gives up a worker whose hold has expired, and the tasks that have ended by then.
 func (c *Core) markLost(now time.Time, w *worker, reason string) {
 	w.lost, w.unproven = true, true
 	w.listComplete, w.awaitingReport = false, false
 	c.log(LogEntry{Event: "worker lost", Worker: w.id, Outcome: reason, Age: now.Sub(w.heardAt), Count: len(w.placements), Detail: fmt.Sprintf("%d unconfirmed", w.unconfirmed())})
-	c.removeAllRuns(now, w)
+	for _, id := range w.taskIDs() {
+		p := w.placements[id]
+		if p.confirmed || now.After(p.startExpiry) {
+			c.removeRun(now, w, id, p.run, "lost")
+			continue
+		}
+		// The start may have reached the next incarnation of the runner, which then has
+		// the longest lease.
+		w.startsAbandoned = true
+		if _, _, t := c.find(id); t != nil && t.worker == w && t.run == p.run {
+			t.stopping = true
+		}
+	}
+}
+
+// expireStarts makes the tasks of a worker that was lost wait again whose starts were not
+// confirmed, once their runs have ended.
+func (c *Core) expireStarts(now time.Time, w *worker) {
+	w.startsAbandoned = false
+	for _, id := range w.taskIDs() {
+		p := w.placements[id]
+		_, _, t := c.find(id)
+		switch {
+		case p.confirmed || t != nil && t.worker == w && t.run == p.run && !t.stopping:
+		case now.After(p.startExpiry):
+			c.removeRun(now, w, id, p.run, "lost")
+		default:
+			w.startsAbandoned = true
+		}
+	}
 }
 
 // unconfirmed returns how many runs on the worker the runner may have got or may still
