Take a start that a clock far behind has answered for unconfirmed

Cause: a runner that starts again under its name accepts a start that was meant for its former incarnation, and answers it. The agent took the run for confirmed with the lease that it had asked for by the former clock, while it has the longest one, and reported it so. Leader and agent then waited for the usual lease only.

Change: an accepted start whose answer has a clock below what the runner's clock showed at least when it was sent counts as one without an answer: a list under a higher token shows whether and where it runs.

Evidence: TestStartAnsweredByNextIncarnation failed before and passes; by reading, not seen in a run yet. A suspended VM may also make the clock fall behind the estimate; the list then confirms the run.

--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -216,9 +216,15 @@
 		return
 	}
 	c.recordContact(now, e.Answer)
-	if e.Clock != nil && *e.Clock < c.runnerNow(t.sentAt) {
+	fellBack := e.Clock != nil && *e.Clock < c.runnerNow(t.sentAt)
+	if fellBack {
 		c.log("clock fell back", "task", key.task.String(), "run", key.run, "clock", *e.Clock, "estimated", c.runnerNow(t.sentAt), "answer", e.Answer)
 	}
+	if e.Answer == Accepted && fellBack {
+		// The next incarnation may have the run, with the longest lease. Its list tells.
+		c.awaitList(t)
+		return
+	}
 	switch e.Answer {
 	case Accepted:
 		t.phase, t.confirmedAt = control.Running, now
@@ -235,13 +241,19 @@
 		delete(c.tasks, key)
 		c.refuse(key, e.Reason)
 	default:
-		t.uncertain = true
-		c.unansweredStarts++
-		c.listRequest = 0
-		c.log("start unanswered", "task", key.task.String(), "run", key.run, "token", c.nextToken())
+		c.awaitList(t)
 	}
 }
 
+// awaitList records that only a list made under a higher token than the start's shows whether
+// the task runs.
+func (c *Core) awaitList(t *task) {
+	t.uncertain = true
+	c.unansweredStarts++
+	c.listRequest = 0
+	c.log("start unanswered", "task", t.start.Task.String(), "run", t.start.Run, "token", c.nextToken())
+}
+
 // onStopResult handles the runner's answer to a stop. A stop without an answer is
 // sent again at once.
 func (c *Core) onStopResult(now time.Time, e StopResult) {
