Keep starts without an answer for the longest lease at a silent runner

Cause: an agent gave the tasks of a silent runner up when the lease had expired that it had asked for, 3 to 9 s after a start without an answer. The next incarnation may have executed that start, with the longest lease, and the agent may never hear of it.

Change: a start without an answer outlives the runner's other tasks, until a list shows what became of it or until 11.7 s after it was sent. The agent reports the runner gone with such starts as its only tasks. A runner that has left a start unanswered gets no further ones before it answers again, so that a runner that is lost has few of them.

Ruled out: the same wait for confirmed runs, which are lost with their incarnation.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -63,7 +64,7 @@
 	// was meant for the former incarnation: by the clock of this one, which has begun anew, its
 	// lease has no end, and the runner grants the longest one.
 	c.requestedUntil = clock + Clock(c.config.MaxLease/time.Millisecond)
-	c.strayLease = now.Add(c.config.MaxLease + c.config.MaxLease/clockDriftDivisor)
+	c.strayLease = now.Add(c.longestLease())
 	c.log("longest lease assumed", "runner", next.Runner.ID.Name, "born", next.Runner.ID.Incarnation, "clock", clock, "until", c.requestedUntil)
 }
 
@@ -136,7 +137,7 @@
 	c.nextRenewal = now.Add(renewalRetry)
 	if c.departing && c.successor == nil && call.Number == c.renewals {
 		c.log("runner ended", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number)
-		c.dropTasks()
+		c.dropConfirmed()
 	}
 }
 
@@ -155,16 +156,44 @@
 	if announced || now.Sub(c.refusedSince) >= endConfirmation {
 		c.log("runner ended", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number,
 			"announced", announced, "refused", now.Sub(c.refusedSince))
-		c.dropTasks()
+		c.dropConfirmed()
 	}
 }
 
-// dropTasks records that nothing runs at the runner any more.
+// dropTasks records that nothing runs at the runner any more and that no start takes effect
+// there.
 func (c *Core) dropTasks() {
 	c.tasks = make(map[runKey]*task)
+	c.dropConfirmed()
+}
+
+// dropConfirmed records that nothing runs at the runner any more, but for starts without an
+// answer: its next incarnation may execute them, and then has the longest lease.
+func (c *Core) dropConfirmed() {
+	maps.DeleteFunc(c.tasks, func(_ runKey, t *task) bool { return t.phase == control.Running })
 	c.departing, c.listComplete, c.runnerGone, c.reportDue = false, true, true, true
 }
 
+// expireStarts gives up starts without an answer at a runner that is gone, once their runs have
+// ended.
+func (c *Core) expireStarts(now time.Time) {
+	if !c.runnerGone {
+		return
+	}
+	for _, key := range c.sortedRuns() {
+		if age := now.Sub(c.tasks[key].sentAt); age > c.longestLease()+c.config.MaxOrdersAge {
+			delete(c.tasks, key)
+			c.reportDue = true
+			c.log("start expired", "task", key.task.String(), "run", key.run, "age", age)
+		}
+	}
+}
+
+// longestLease is the longest time for which a lease may last, by a clock that may be slow.
+func (c *Core) longestLease() time.Duration {
+	return c.config.MaxLease + c.config.MaxLease/clockDriftDivisor
+}
+
 // callee returns the incarnation that renewals go to: the successor, if there is one.
 // It returns false if no incarnation is known.
 func (c *Core) callee() (control.RunnerID, bool) {
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -279,6 +279,7 @@
 	c.sendStops(now)
 	c.renewLease(now)
 	c.expireLease(now)
+	c.expireStarts(now)
 	c.sendReport(now)
 }
 
--- a/internal/runner/recut_test.go
+++ b/internal/runner/recut_test.go
@@ -20,17 +20,19 @@
 	h.listFrom(must[runner.RenewLease](h), control.Task{ID: start(1).Task, Run: 1, Phase: control.Running})
 }
 
-// givenUpAfter answers no call until the agent gives the runner up, and returns after which time
-// that was.
+// givenUpAfter answers no call to the runner, and each report after 50 ms without orders, until the
+// agent reports that no task runs or may start. It returns after which time that was.
 func (h *harness) givenUpAfter() time.Duration {
 	h.t.Helper()
 	for began := h.now; h.now.Sub(began) < time.Minute; h.wait(50 * time.Millisecond) {
 		for _, effect := range h.effects {
 			switch e := effect.(type) {
-			case runner.Log:
-				if e.Event == "runner silent" {
+			case runner.Send:
+				if e.Report.Complete && len(e.Report.Tasks) == 0 {
 					return h.now.Sub(began)
 				}
+				h.now = h.now.Add(50 * time.Millisecond)
+				h.step(runner.SendResult{Call: e, Orders: control.Orders{Leads: true, Epoch: 1, Fence: 1}})
 			case runner.RenewLease:
 				h.step(runner.RenewLeaseResult{Call: e, Answer: runner.NoAnswer})
 			}
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -170,9 +170,15 @@
 }
 
 // unresponsive reports whether the runner has sent neither answers nor heartbeats
-// for a while. It gets no starts then: each start might renew its lease, so that
-// its tasks could never be given up.
+// for a while, or no answer since a start that had none. It gets no starts then: each
+// start might renew its lease, so that its tasks could never be given up, and may run
+// at its next incarnation.
 func (c *Core) unresponsive(now time.Time) bool {
+	for _, t := range c.tasks {
+		if t.uncertain && t.sentAt.After(c.lastAnswer) {
+			return true
+		}
+	}
 	return now.Sub(c.lastAnswer) > c.config.AnswerTimeout && now.Sub(c.lastHeartbeat) > c.config.HeartbeatTimeout
 }
 
@@ -191,6 +197,6 @@
 	}
 	if expired {
 		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.lastAnswer), "until", c.requestedUntil, "clock", c.runnerClock)
-		c.dropTasks()
+		c.dropConfirmed()
 	}
 }
