Test a start without an answer at a runner that has ended

Callers see a task run twice. A start has no answer and is under way. The runner crashes. Nobody listens at its address for endConfirmation, 0.4 s, or the runner has announced its end and can't be reached; dropTasks then gives up all runs, also those whose start may still be carried out. The leader starts the task elsewhere. The runner starts again under its id and carries the start out, with the longest lease.

Only what the ended runner had confirmed or listed is sure not to run.

--- /dev/null
+++ b/internal/runner/late_start_test.go
@@ -0,0 +1,59 @@
+package runner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+	"github.com/lovageroad/lovageroad/internal/runner"
+)
+
+// TestStartAtSilentSuccessor guards against a run given up by the former incarnation's lease while a silent successor has it.
+func TestStartAtSilentSuccessor(t *testing.T) {
+	for name, restart := range map[string]func(h *harness, renewal runner.RenewLease){
+		"heartbeat": func(h *harness, _ runner.RenewLease) { h.heartbeatOf(reborn) },
+		"answer": func(h *harness, renewal runner.RenewLease) {
+			h.step(runner.RenewLeaseResult{Call: renewal, Answer: runner.OtherIncarnation, Clock: 100})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, report := newSlowRunner(t)
+			for range 200 {
+				s.wait(100 * time.Millisecond)
+				s.sendHeartbeat(0)
+			}
+			report.Sent = s.now
+			s.sendOrders(report, func(o *control.Orders) { o.Starts = []control.Start{start(1)} })
+			call, renewal := must[runner.StartTask](s.harness), must[runner.RenewLease](s.harness)
+			s.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+			restart(s.harness, renewal)
+			if age := s.givenUpAfter(); age < maxLease {
+				t.Errorf("run given up after %v", age)
+			}
+		})
+	}
+}
+
+// TestUnansweredStartAtEndedRunner guards against a run given up though its start may reach the next incarnation.
+func TestUnansweredStartAtEndedRunner(t *testing.T) {
+	for name, c := range map[string]struct {
+		departs bool
+		answer  runner.Answer
+	}{"crashed": {false, runner.NotListening}, "departed": {true, runner.Unreachable}} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.step(runner.StartResult{Call: h.startFirst(), Answer: runner.NoAnswer})
+			if c.departs {
+				h.step(runner.Gone{ID: self})
+			}
+			for range 20 {
+				if renewal, ok := find[runner.RenewLease](h); ok {
+					h.step(runner.RenewLeaseResult{Call: renewal, Answer: c.answer})
+					h.checkHeld("no connection")
+				}
+				h.wait(50 * time.Millisecond)
+				h.checkHeld("wait")
+			}
+		})
+	}
+}
