Test a result that the next incarnation lists before its heartbeat

Callers see a task run again after it was done. A start reaches the next incarnation of the runner and is done there before that one's first heartbeat. The agent's renewal is answered by the other incarnation with a list under a higher token: no task, one result. onOtherIncarnation looks at the tasks only and takes the run for ended without a result. The leader starts it elsewhere; the result comes with the first list after the heartbeat, when the second run works already.

Measured: the report after that list says that the runner is gone, without tasks and results.

--- a/internal/runner/late_start_test.go
+++ b/internal/runner/late_start_test.go
@@ -57,3 +57,18 @@
 		})
 	}
 }
+
+// TestResultOfRestartWithoutHeartbeat guards against a run given up though the next incarnation lists its result.
+func TestResultOfRestartWithoutHeartbeat(t *testing.T) {
+	h := newHarness(t)
+	call := h.startFirst()
+	first := must[runner.RenewLease](h)
+	h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+	h.step(runner.RenewLeaseResult{Call: first, Answer: runner.OtherIncarnation, Clock: 100})
+	h.wait(300 * time.Millisecond)
+	h.step(runner.RenewLeaseResult{
+		Call: must[runner.RenewLease](h), Answer: runner.OtherIncarnation, Clock: 400,
+		Results: []control.Result{{ID: 1, Task: start(1).Task, Run: 1, Outcome: control.Done}},
+	})
+	h.checkHeld("list with the result")
+}
