Test the fencing token after 65,536 restarts

unansweredStarts has 16 bits and counts, within an epoch, the starts without an answer and the incarnations of the runner. When it wraps, the token falls. By reading, the runner then rejects all calls of the agent until the next epoch: its tasks lapse and nothing starts there. Nor does a list under a later token show any more that an earlier start never takes effect.

At one per minute that is an epoch of 45 days.

--- a/internal/runner/late_start_test.go
+++ b/internal/runner/late_start_test.go
@@ -72,3 +72,18 @@
 	})
 	h.checkHeld("list with the result")
 }
+
+// TestTokenAfterManyRestarts guards against a fencing token that falls after 65,536 restarts.
+func TestTokenAfterManyRestarts(t *testing.T) {
+	h := newHarness(t)
+	h.ready()
+	last := runner.Token(0)
+	for n := range int64(1<<16 + 1) {
+		h.heartbeatOf(control.RunnerID{Name: self.Name, Incarnation: n + 2})
+		token := must[runner.RenewLease](h).Token
+		if token <= last {
+			t.Fatalf("restart %d: token %#x after %#x", n+1, token, last)
+		}
+		last = token
+	}
+}
