Test a lost worker whose agent reported a start as not confirmed

Callers see a task run twice. The agent gets the order to start a run, sends the start to a runner that has just started again, and reports the run in the phase Starting, before any answer. The agent is then killed or cut off.

reconcileTask sets reported for any task in a report, whatever its phase. So a rule that waits for placements that are not reported does not see this case.

--- /dev/null
+++ b/internal/region/late_start_test.go
@@ -0,0 +1,50 @@
+package region_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovageroad/lovageroad/internal/control"
+)
+
+// longestLease is the longest lease that a runner grants.
+const longestLease = 10 * time.Second
+
+// orderFirst has an agent get the order to start the first task of j1, and returns a change that
+// reports the run in a phase.
+func (h *harness) orderFirst(agent control.AgentID) func(control.Phase) func(*control.Report) {
+	h.t.Helper()
+	h.join(agent)
+	h.submit(gpuJob("j1", 1, 8))
+	h.report(agent, nil)
+	return func(phase control.Phase) func(*control.Report) {
+		return func(r *control.Report) {
+			r.Tasks = []control.Task{{ID: taskOf("j1", 0), Run: h.runs[taskOf("j1", 0)], Phase: phase}}
+		}
+	}
+}
+
+// startsElsewhere has the agent b report until j1 starts there, and returns after which time that
+// was.
+func (h *harness) startsElsewhere() time.Duration {
+	h.t.Helper()
+	for began := h.now; h.now.Sub(began) < 3*longestLease; {
+		h.now = h.now.Add(100 * time.Millisecond)
+		h.join("b")
+		if len(h.report("b", nil).Starts) > 0 {
+			return h.now.Sub(began)
+		}
+	}
+	h.t.Fatal("the task does not start elsewhere")
+	return 0
+}
+
+// TestStartingRunAtLostWorker guards against a run, reported as starting, that starts elsewhere before its lease has ended.
+func TestStartingRunAtLostWorker(t *testing.T) {
+	h := newHarness(t)
+	listed := h.orderFirst("a")
+	h.report("a", listed(control.Starting))
+	if age := h.startsElsewhere(); age < longestLease {
+		t.Errorf("the task starts elsewhere after %v", age)
+	}
+}
