Test a lease that is reported with an incomplete list after a takeover

Callers see a task run twice. A leader takes over. 5 s later an agent reports a runner that is being succeeded: no complete list, and a lease of 10 s. It is cut off. finishTakeover ends the takeover 7.62 s after the epoch began, whatever leases the agents that it awaits have reported since, and tasks of earlier jobs start. A longer fixed wait from the beginning of the epoch has the same fault for a later report.

--- a/internal/region/late_start_test.go
+++ b/internal/region/late_start_test.go
@@ -48,3 +48,16 @@
 		t.Errorf("the task starts elsewhere after %v", age)
 	}
 }
+
+// TestLeaseOfIncompleteList guards against a new leader that ignores a lease reported without a complete list.
+func TestLeaseOfIncompleteList(t *testing.T) {
+	h := newHarness(t)
+	listed := h.orderFirst("a")
+	h.report("a", listed(control.Running))
+	h.lead(2)
+	h.now = h.now.Add(5 * time.Second)
+	h.report("a", func(r *control.Report) { r.Complete, r.Lease = false, longestLease })
+	if age := h.startsElsewhere(); age < longestLease {
+		t.Errorf("the task starts elsewhere %v after the report of the lease", age)
+	}
+}
