Test a takeover after a worker was lost whose run may go on

Callers see a task run twice. A start is ordered, the agent is cut off and the leader marks the worker lost after 7.62 s. mayRun is false for a lost worker, so its row is removed. Another gate takes over, finds no row, awaits nobody and starts the task at once, while the run may have the longest lease, 10 s.

A leader that keeps the runs of a lost worker for longer has to keep the row for as long, or the next one does not wait.

--- a/internal/region/late_start_test.go
+++ b/internal/region/late_start_test.go
@@ -61,3 +61,21 @@
 		t.Errorf("the task starts elsewhere %v after the report of the lease", age)
 	}
 }
+
+// TestTakeoverBesideLostWorker guards against a new leader that does not know of a lost worker whose run may go on.
+func TestTakeoverBesideLostWorker(t *testing.T) {
+	h := newHarness(t)
+	listed := h.orderFirst("a")
+	h.report("a", listed(control.Starting))
+	ordered := h.now
+	for h.now.Sub(ordered) < 8*time.Second {
+		h.now = h.now.Add(500 * time.Millisecond)
+		h.core.Tick(h.now)
+		h.save()
+	}
+	h.lead(2)
+	h.startsElsewhere()
+	if age := h.now.Sub(ordered); age < longestLease {
+		t.Errorf("the task starts elsewhere %v after its start was ordered", age)
+	}
+}
