Play storms with runners that start again under their ids

In the storms a call for a former incarnation of a runner did nothing, and all clocks began at one time.

On the code as it is two runs are at once in 8 of seeds 1 to 300; the test plays these 8. Each begins with a start that has no answer and is carried out 1.5 to 6.8 s later by the next incarnation:

32, 177, 262: the agent gives the run up at a silent runner, as in TestUnansweredStartAtSilentRunner.

42, 81, 99, 157, 174: a list under a higher token lacks the run, applyMissing refuses it ("unanswered") and the leader starts it elsewhere. The higher token binds only the incarnation that made the list; the next one has seen no token and carries the start out before the agent's first list. TestUnansweredStart wants that refusal at once, so that the two can't both hold for a late start that comes after a restart.

--- a/internal/region/storm_test.go
+++ b/internal/region/storm_test.go
@@ -42,6 +42,7 @@
 	// stormRunner is an incarnation of a runner.
 	stormRunner struct {
 		agent       *stormAgent
+		clockBegan  time.Time
 		description control.Runner
 		token       runner.Token
 		leaseEnd    runner.Clock
@@ -63,8 +64,12 @@
 )
 
 func newStormRunner(a *stormAgent) *stormRunner {
+	began := time.Unix(0, 0)
+	if a.s.restarts {
+		began = a.s.now
+	}
 	return &stormRunner{
-		agent: a, highest: make(map[work.TaskID]work.Run), ended: make(map[control.ResultID]time.Time),
+		agent: a, clockBegan: began, highest: make(map[work.TaskID]work.Run), ended: make(map[control.ResultID]time.Time),
 		description: control.Runner{
 			ID: control.RunnerID{Name: "runner-" + string(a.id), Incarnation: a.s.now.UnixMilli()}, Pool: pool, Rack: "r1",
 			Capacity: work.Resources{Processor: 32000, Memory: 65536, Accelerators: 8},
@@ -74,7 +79,7 @@
 
 // clock returns the runner's own clock, which may be slow.
 func (r *stormRunner) clock() runner.Clock {
-	return runner.Clock(float64(r.agent.s.now.Sub(time.Unix(0, 0)).Milliseconds()) * r.agent.clockRate)
+	return runner.Clock(float64(r.agent.s.now.Sub(r.clockBegan).Milliseconds()) * r.agent.clockRate)
 }
 
 // settle ends what has ended by now.
@@ -123,7 +128,7 @@
 	}
 	s.log("%s: %v run %d starts", r.agent.id, e.Start.Task, e.Start.Run)
 	s.checkStart(r.agent, e.Start)
-	r.leaseEnd = max(r.leaseEnd, e.Until)
+	r.extend(e.Until)
 	outcome := control.Done
 	if s.chance(0.1) {
 		outcome = control.Failed
@@ -133,6 +138,16 @@
 	return runner.Accepted
 }
 
+// takes reports whether the runner carries out a call to an incarnation.
+func (r *stormRunner) takes(id control.RunnerID) bool {
+	return id == r.description.ID || r.agent.s.restarts && id.Name == r.description.ID.Name
+}
+
+// extend extends the lease, at most to the longest one.
+func (r *stormRunner) extend(until runner.Clock) {
+	r.leaseEnd = max(r.leaseEnd, min(until, r.clock()+runner.Clock(longestLease.Milliseconds())))
+}
+
 // checkStart checks that a task that starts neither runs nor has been done.
 func (s *storm) checkStart(at *stormAgent, start control.Start) {
 	for _, a := range s.agents {
@@ -212,7 +227,7 @@
 			call(a, core, 400*time.Millisecond, 0, func(answer runner.Answer, r *stormRunner) any {
 				if answer == runner.Accepted {
 					answer = runner.Refused
-					if e.Runner == r.description.ID {
+					if r.takes(e.Runner) {
 						answer = r.start(e)
 					}
 				}
@@ -220,7 +235,7 @@
 			})
 		case runner.StopTask:
 			call(a, core, 400*time.Millisecond, 0, func(answer runner.Answer, r *stormRunner) any {
-				if answer == runner.Accepted && e.Runner == r.description.ID && e.Token >= r.token {
+				if answer == runner.Accepted && r.takes(e.Runner) && e.Token >= r.token {
 					r.stop(e.Stop)
 				}
 				return runner.StopResult{Call: e, Answer: answer}
@@ -256,7 +271,7 @@
 	r.settle()
 	result.Clock = r.clock()
 	switch {
-	case e.Runner != r.description.ID:
+	case !r.takes(e.Runner):
 		result.Answer = runner.OtherIncarnation
 		return
 	case e.Token < r.token:
@@ -264,7 +279,10 @@
 		return
 	}
 	r.token = e.Token
-	r.leaseEnd = max(r.leaseEnd, e.Until)
+	if e.Runner != r.description.ID {
+		result.Answer = runner.OtherIncarnation
+	}
+	r.extend(e.Until)
 	r.acknowledge(e.Acked)
 	for _, run := range r.running {
 		result.Tasks = append(result.Tasks, control.Task{ID: run.id, Run: run.run, Phase: control.Running})
@@ -389,7 +407,20 @@
 func TestStorm(t *testing.T) {
 	for seed := *stormSeed; seed < *stormSeed+*stormSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := newStorm(t, seed, 5)
+			s := newStorm(t, seed, 5, false)
+			s.submit()
+			s.trouble()
+			s.run()
+			t.Logf("%d jobs, %d tasks done, %d epochs", s.jobs, s.dones, s.epoch)
+		})
+	}
+}
+
+// TestStormOfRestarts guards against two runs at a time when a late start reaches the next incarnation of its runner.
+func TestStormOfRestarts(t *testing.T) {
+	for _, seed := range []uint64{32, 42, 81, 99, 157, 174, 177, 262} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newStorm(t, seed, 5, true)
 			s.submit()
 			s.trouble()
 			s.run()
--- a/internal/region/storm_world_test.go
+++ b/internal/region/storm_world_test.go
@@ -25,7 +25,12 @@
 	// storm runs agents and runners against successive leaders, one at a time, with
 	// random delays and faults.
 	storm struct {
-		t       *testing.T
+		t *testing.T
+
+		// restarts says that runners come back under their names with clocks that begin anew, and
+		// carry out calls for former incarnations.
+		restarts bool
+
 		random  *rand.Rand
 		now     time.Time
 		end     time.Time
@@ -67,9 +72,9 @@
 	}
 )
 
-func newStorm(t *testing.T, seed uint64, agents int) *storm {
+func newStorm(t *testing.T, seed uint64, agents int, restarts bool) *storm {
 	s := &storm{
-		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), table: platform.NewMemory(),
+		t: t, restarts: restarts, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), table: platform.NewMemory(),
 		starts: make(map[work.TaskID][]time.Time), done: make(map[work.TaskID]time.Time),
 	}
 	s.end = s.now.Add(90 * time.Second)
