Test run numbers after many refusals of a task

nextRun begins each epoch at runsPerEpoch, 1000, times the epochs before, and records hold no run numbers. A leader that orders more than 1,000 runs of one task makes the next one's first runs lower than, and later equal to, its own. A refused start takes a run number every 0.3 s, so that one task that is refused again and again gets there in about 5 minutes.

By reading: the runner rejects runs that are not above one stopped or ended there, so that the task stays queued for as many refusals; a stray run of the epoch before has the same name and number as one of this leader's, so that reports and results of the two can't be told apart.

Measured: run 1001 in epoch 2 after run 1002 in epoch 1.

--- a/internal/region/late_start_test.go
+++ b/internal/region/late_start_test.go
@@ -79,3 +79,22 @@
 		t.Errorf("the task starts elsewhere %v after its start was ordered", age)
 	}
 }
+
+// TestRunAfterManyRefusals guards against a new leader whose runs have numbers of an earlier leader's.
+func TestRunAfterManyRefusals(t *testing.T) {
+	h := newHarness(t)
+	h.orderFirst("a")
+	id := taskOf("j1", 0)
+	for range 1001 {
+		refused := h.runs[id]
+		h.report("a", func(r *control.Report) { r.Refusals = []control.Refusal{{Task: id, Run: refused, Reason: "room"}} })
+		h.now = h.now.Add(400 * time.Millisecond)
+		h.report("a", nil)
+	}
+	last := h.runs[id]
+	h.lead(2)
+	starts := h.report("a", nil).Starts
+	if len(starts) != 1 || starts[0].Run <= last {
+		t.Errorf("starts %+v after run %d of the epoch before", starts, last)
+	}
+}
