Keep a run whose result the next incarnation lists

Cause: a runner that starts again under its name and has sent no heartbeat yet is asked for its list. If that had none of the agent's tasks, they were given up, though one may have been executed and have ended there: the list has its result.

Change: results count as well as tasks.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -106,15 +106,16 @@
 	}
 	c.successor = nil
 	c.requestNewList()
-	if e.Call.Token == c.nextToken() && !e.Partial && !c.listsTask(e.Tasks) {
+	if e.Call.Token == c.nextToken() && !e.Partial && !c.listsRun(e) {
 		c.log("runner ended", "runner", e.Call.Runner.Name, "born", e.Call.Runner.Incarnation, "tasks", len(c.tasks), "list", e.Call.Number)
 		c.dropTasks()
 	}
 }
 
-// listsTask reports whether a list contains a task that the agent has.
-func (c *Core) listsTask(list []control.Task) bool {
-	return slices.ContainsFunc(list, func(t control.Task) bool { return c.tasks[runKey{t.ID, t.Run}] != nil })
+// listsRun reports whether a list contains a run that the agent has, or its result.
+func (c *Core) listsRun(list RenewLeaseResult) bool {
+	return slices.ContainsFunc(list.Tasks, func(t control.Task) bool { return c.tasks[runKey{t.ID, t.Run}] != nil }) ||
+		slices.ContainsFunc(list.Results, func(r control.Result) bool { return c.tasks[runKey{r.Task, r.Run}] != nil })
 }
 
 // onGone handles the departure of a runner. A departure that was delayed may be that of
