End a takeover only when each agent has listed or is lost

Cause: a takeover ended a fixed time after the epoch began, also if an agent without a complete list had reported since then that its runner may have the longest lease.

Evidence: TestLeaseOfIncompleteList failed before and passes; found by reading.

--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -207,15 +207,15 @@
 // makes occurrences due, stops incomplete gangs and places waiting tasks.
 func (c *Core) Tick(now time.Time) {
 	c.now = now
-	c.finishTakeover(now)
 	for _, w := range c.sortedWorkers() {
 		if !w.lost && now.After(w.holdExpiry) && now.After(w.leaseExpiry) {
-			c.markLost(now, w, "silent")
+			c.markLost(now, w)
 		}
 		if w.startsAbandoned {
 			c.expireStarts(now, w)
 		}
 	}
+	c.finishTakeover(now)
 	for _, j := range c.liveJobs {
 		c.advance(now, j)
 		c.stopIncompleteGangs(now, j)
@@ -239,30 +239,20 @@
 }
 
 // finishTakeover ends the takeover once each agent that an earlier leader knew
-// has listed its tasks to this leader or is lost, or once all leases that runners
-// had under earlier leaders have expired. Until then an agent may be running tasks
-// that this leader does not know of.
+// has listed its tasks to this leader or is lost. Until then an agent may be running
+// tasks that this leader does not know of.
 func (c *Core) finishTakeover(now time.Time) {
 	if c.takeoverDone {
 		return
 	}
-	awaited := 0
 	for _, w := range c.workers {
 		if w.awaitingReport {
-			awaited++
+			return
 		}
 	}
-	if awaited > 0 && now.Before(c.began.Add(c.leaseTimeout())) {
-		return
-	}
 	c.takeoverDone = true
 	c.replan = true
-	for _, w := range c.sortedWorkers() {
-		if w.awaitingReport {
-			c.log(LogEntry{Event: "agent not listed", Worker: w.id, EpochAge: now.Sub(c.began)})
-		}
-	}
-	c.log(LogEntry{Event: "settled", Epoch: c.epoch, Age: now.Sub(c.began), Count: awaited})
+	c.log(LogEntry{Event: "settled", Epoch: c.epoch, Age: now.Sub(c.began)})
 	c.stopPartialGangs(now)
 }
 
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -331,7 +331,11 @@
 }
 
 // markLost gives up a worker whose hold has expired, and the tasks that have ended by then.
-func (c *Core) markLost(now time.Time, w *worker, reason string) {
+func (c *Core) markLost(now time.Time, w *worker) {
+	reason := "silent"
+	if w.awaitingReport {
+		reason = "not listed"
+	}
 	w.lost, w.unproven = true, true
 	w.listComplete, w.awaitingReport = false, false
 	c.log(LogEntry{Event: "worker lost", Worker: w.id, Outcome: reason, Age: now.Sub(w.heardAt), Count: len(w.placements), Detail: fmt.Sprintf("%d unconfirmed", w.unconfirmed())})
