--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -178,14 +178,18 @@
 // expireStarts gives up starts without an answer once their runs have ended, wherever they were
 // executed.
 func (c *Core) expireStarts(now time.Time) {
-	for _, key := range c.sortedRuns() {
-		t := c.tasks[key]
-		if age := now.Sub(t.sentAt); t.phase == control.Starting && age > c.longestLease()+c.config.MaxOrdersAge {
-			delete(c.tasks, key)
-			c.log("start expired", "task", key.task.String(), "run", key.run, "age", age)
-			c.refuse(key, "unanswered")
+	var expired []runKey
+	for key, t := range c.tasks {
+		if t.phase == control.Starting && now.Sub(t.sentAt) > c.longestLease()+c.config.MaxOrdersAge {
+			expired = append(expired, key)
 		}
 	}
+	slices.SortFunc(expired, compareRuns)
+	for _, key := range expired {
+		c.log("start expired", "task", key.task.String(), "run", key.run, "age", now.Sub(c.tasks[key].sentAt))
+		delete(c.tasks, key)
+		c.refuse(key, "unanswered")
+	}
 }
 
 // longestLease is the longest time for which a lease may last, by a clock that may be slow.
