Start nothing at an agent that gets no orders any more

Callers saw (virtual time): a job waits for 6.8 s though a runner is idle.

Cause: an agent that applies none of its orders for 4 s gets no more of them, until its hold has passed and it is given up. Until then the planner still counted it as usable, and placed tasks there that no orders would carry to it.

Evidence: TestStartsBesideAgentThatAppliesNothing, before: the task starts after 6.8 s.

The planner leaves the agent out as soon as its orders are withheld, as it does once the agent is given up. After: within 1 s.

--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -106,7 +106,7 @@
 
 // schedulable reports whether tasks may start on the worker.
 func (w *worker) schedulable(now time.Time) bool {
-	return !w.lost && !w.unproven && w.listComplete && !w.runnerGone && w.hasRow() && !w.writingRow && !w.row.versionUnknown && !w.runner.Draining && !now.Before(w.coolDownUntil)
+	return !w.lost && !w.unproven && !w.appliesNothing(now) && w.listComplete && !w.runnerGone && w.hasRow() && !w.writingRow && !w.row.versionUnknown && !w.runner.Draining && !now.Before(w.coolDownUntil)
 }
 
 // planView returns the worker as the planner needs it, without the tasks on it.
--- a/internal/region/unresponsive_test.go
+++ b/internal/region/unresponsive_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+// TestStartsBesideAgentThatAppliesNothing guards against starts that wait at an agent that gets no
+// orders any more, while another one is idle.
+func TestStartsBesideAgentThatAppliesNothing(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	h.join("b")
+	stuck := func(r *control.Report) { r.Applied = 0 }
+	for began := h.now; h.now.Sub(began) < 5*time.Second; h.now = h.now.Add(200 * time.Millisecond) {
+		h.report("a", stuck)
+		h.report("b", nil)
+	}
+	h.submit(gpuJob("j1", 1, 8))
+	for began := h.now; h.now.Sub(began) < finish; h.now = h.now.Add(200 * time.Millisecond) {
+		h.report("a", stuck)
+		if len(h.report("b", nil).Starts) > 0 {
+			if age := h.now.Sub(began); age > time.Second {
+				t.Errorf("the task starts after %v", age)
+			}
+			return
+		}
+	}
+	t.Error("the task does not start")
+}
+
 // TestAgentAfterSilence guards against an agent that is given up since its leader gave no
 // orders for a while, and the last ones before that were lost.
 func TestAgentAfterSilence(t *testing.T) {
