Count orders as not applied by the agent's reports, not by the answers

Cause: an agent that applies none of five orders for 4 s gets no more of them until its hold has passed. The orders were counted as they were given. One went into the cut; four more answered reports from the time of the cut, which arrived at its end and for which the agent no longer waited, within 0.2 s. The time counted from the first one, so it had passed already.

TestAgentAfterCut, before: the fifth answer has no orders.

A report after an order that still does not say that it was applied is what shows that the agent applies nothing. It is counted once for each order, and the time counts from the first such report, so what was lost while nothing was heard of the agent does not count.

--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -70,7 +70,6 @@
 	}
 	w.holdExpiry = now.Add(c.holdTimeout())
 	w.ordersSeq++
-	w.countUnapplied(now)
 	orders := control.Orders{Leads: true, Epoch: c.epoch, Seq: w.ordersSeq, Fence: w.fence, Acked: w.lastAcknowledged, ReportWait: c.reportWait()}
 	if w.runner != nil {
 		orders.Runner = w.runner.ID
--- a/internal/region/unresponsive_test.go
+++ b/internal/region/unresponsive_test.go
@@ -100,3 +100,19 @@
 		t.Errorf("answer %+v, want one that extends the hold", orders)
 	}
 }
+
+// TestAgentAfterCut guards against an agent that gets no orders any more, since those before a cut
+// were lost and those after it answered reports that it no longer waited for.
+func TestAgentAfterCut(t *testing.T) {
+	h := newHarness(t)
+	h.join("a")
+	applied := h.ordersSeq["a"]
+	cut := func(r *control.Report) { r.Applied = applied }
+	h.report("a", cut)
+	h.now = h.now.Add(5 * time.Second)
+	for range 6 {
+		if orders := h.report("a", cut); orders.Seq == 0 {
+			t.Fatalf("answer %+v, want orders", orders)
+		}
+	}
+}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -52,13 +52,13 @@
 		lost        bool
 
 		// applied are the last orders that the agent's present incarnation has applied.
-		// unapplied counts the answers with orders since it reported that, of which the
-		// first was given at unappliedSince. unproven says that the agent was lost and has
-		// not applied any orders since.
-		applied        control.OrdersSeq
-		unapplied      int
-		unappliedSince time.Time
-		unproven       bool
+		// unapplied counts the reports since then that did not say so of further orders, of
+		// which the first arrived at unappliedSince and the last after the orders counted.
+		// unproven says that the agent was lost and has not applied any orders since.
+		applied, counted control.OrdersSeq
+		unapplied        int
+		unappliedSince   time.Time
+		unproven         bool
 
 		// runnerUnknown says that the agent doesn't know its runner, so that it
 		// can't renew the leases of the tasks there.
@@ -197,7 +197,7 @@
 	if expiry := now.Add(r.Lease); r.Lease > 0 && expiry.After(w.leaseExpiry) {
 		w.leaseExpiry = expiry
 	}
-	c.noteApplied(w, r)
+	c.noteApplied(now, w, r)
 	if w.lost && !w.runnerUnknown && !r.RunnerGone {
 		w.lost, w.unapplied = false, 0
 		w.markOrdersPending()
@@ -208,21 +208,29 @@
 }
 
 // noteApplied records which orders the agent has applied.
-func (c *Core) noteApplied(w *worker, r control.Report) {
+func (c *Core) noteApplied(now time.Time, w *worker, r control.Report) {
 	if r.Applied > w.applied && w.unproven {
 		w.unproven = false
 		c.replan = true
 	}
 	if r.Applied > w.applied || r.Complete && !w.listComplete {
 		w.applied, w.unapplied = r.Applied, 0
+		return
 	}
+	w.countUnapplied(now)
 }
 
-// countUnapplied counts an answer with orders.
+// countUnapplied counts a report that does not say that the last orders were applied, if none
+// that followed them has been counted. The answers themselves don't count: they may have gone to
+// reports that the agent no longer waited for, or been lost during a cut.
 func (w *worker) countUnapplied(now time.Time) {
+	if w.ordersSeq <= max(w.applied, w.counted) {
+		return
+	}
 	if w.unapplied == 0 {
 		w.unappliedSince = now
 	}
+	w.counted = w.ordersSeq
 	w.unapplied++
 }
 
@@ -255,7 +263,7 @@
 func (w *worker) startIncarnation(fence uint16) {
 	w.fence = fence
 	w.listComplete = false
-	w.ordersSeq, w.applied, w.unapplied = 0, 0, 0
+	w.ordersSeq, w.applied, w.counted, w.unapplied = 0, 0, 0, 0
 	for _, p := range w.placements {
 		p.sentSeq = 0
 	}
