Refuse starts that an agent gets as its runner ends

Cause: a leader orders a start at a runner that starts again at the same time. The agent waits for the new incarnation's list and does not carry the start out, or the runner is gone already and it ignores the orders. Then it reports that the runner is gone, which frees the runs that it has reported. This one it neither reported nor refused, and it never said that the orders were applied, so the leader waited until the hold had passed, 7.6 s later. After a takeover all waiting tasks are ordered at once, when the last agent that was cut off reports again, so that several jobs wait.

TestStartBeforeRunnerEnds, before: the report has no refusals.

The agent remembers the starts of the last orders that it has not carried out, and refuses them once the runner is gone. It never sent them, and a refused run is not started by a later order, so the run may start elsewhere at once. A start that a former process of the agent sent and that the next incarnation lists counts as running.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -110,9 +110,12 @@
 	}
 }
 
-// listsTask reports whether a list contains a task that the agent has.
+// listsTask reports whether a list contains a task that the agent has or was ordered to start.
 func (c *Core) listsTask(list []control.Task) bool {
-	return slices.ContainsFunc(list, func(t control.Task) bool { return c.tasks[runKey{t.ID, t.Run}] != nil })
+	return slices.ContainsFunc(list, func(t control.Task) bool {
+		key := runKey{t.ID, t.Run}
+		return c.tasks[key] != nil || c.skipped[key]
+	})
 }
 
 // onGone handles the departure of a runner. A departure that was delayed may be that of
--- a/internal/runner/incarnation_test.go
+++ b/internal/runner/incarnation_test.go
@@ -204,3 +204,30 @@
 		t.Errorf("report %+v, want that nothing runs there", send.Report)
 	}
 }
+
+// TestStartBeforeRunnerEnds guards against a run that its leader waits for until the hold has
+// passed: its runner ended before the agent carried the start out.
+func TestStartBeforeRunnerEnds(t *testing.T) {
+	for name, late := range map[string]bool{"ordered before the end": false, "ordered after it": true} {
+		h := newHarness(t)
+		call := h.startFirst()
+		first := must[runner.RenewLease](h)
+		h.step(runner.StartResult{Call: call, Answer: runner.Accepted})
+		h.step(runner.RenewLeaseResult{Call: first, Answer: runner.OtherIncarnation, Clock: 100})
+		report := must[runner.Send](h)
+		order := func() {
+			h.sendOrders(report, func(o *control.Orders) { o.Starts = []control.Start{start(2)} })
+		}
+		if !late {
+			order()
+		}
+		h.wait(300 * time.Millisecond)
+		h.step(runner.RenewLeaseResult{Call: must[runner.RenewLease](h), Answer: runner.OtherIncarnation, Clock: 400})
+		if late {
+			order()
+		}
+		if send, ok := find[runner.Send](h); !ok || !send.Report.RunnerGone || len(send.Report.Refusals) != 1 || send.Report.Refusals[0].Run != 2 {
+			t.Errorf("%s: report %+v, want that run 2 will not start", name, send.Report)
+		}
+	}
+}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -76,7 +76,13 @@
 	if e.Orders.Seq <= c.applied {
 		return
 	}
-	if c.runner == nil || e.Orders.Runner != c.runner.ID || c.runnerGone {
+	if c.runner == nil || e.Orders.Runner != c.runner.ID {
+		return
+	}
+	if c.runnerGone {
+		for _, start := range e.Orders.Starts {
+			c.skipped[runKey{start.Task, start.Run}] = true
+		}
 		return
 	}
 	if e.Call.Report.Runner == nil {
@@ -129,6 +135,7 @@
 			delete(c.results, n)
 		}
 	}
+	clear(c.skipped)
 	ordered := make(map[runKey]bool)
 	for _, stop := range e.Orders.Stops {
 		ordered[runKey{stop.Task, stop.Run}] = true
@@ -182,7 +189,11 @@
 // applyStart starts a run that the agent does not have yet.
 func (c *Core) applyStart(now time.Time, key runKey, start control.Start) {
 	_, refused := c.refusals[key]
-	if !c.listComplete || refused || c.tasks[key] != nil || c.hasEnded(key) {
+	if refused || c.tasks[key] != nil || c.hasEnded(key) {
+		return
+	}
+	if !c.listComplete {
+		c.skipped[key] = true
 		return
 	}
 	if c.runner.Draining {
@@ -198,6 +209,20 @@
 	c.sendStart(now, t)
 }
 
+// refuseSkipped refuses the starts that were not carried out before the runner was gone. Its
+// leader would wait for these runs until the hold has passed.
+func (c *Core) refuseSkipped() {
+	if !c.runnerGone {
+		return
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(c.skipped), compareRuns) {
+		if c.tasks[key] == nil && !c.hasEnded(key) {
+			c.refuse(key, "runner gone")
+		}
+	}
+	clear(c.skipped)
+}
+
 // sendStart tells the runner to start a task.
 func (c *Core) sendStart(now time.Time, t *task) {
 	t.token = c.nextToken()
@@ -264,6 +289,7 @@
 	c.sendStops(now)
 	c.renewLease(now)
 	c.expireLease(now)
+	c.refuseSkipped()
 	c.sendReport(now)
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -212,6 +212,10 @@
 		// refusals are the reasons of runs that will never start.
 		refusals map[runKey]string
 
+		// skipped are the starts of the last orders that were not carried out, since the
+		// runner's tasks were not known or it was gone.
+		skipped map[runKey]bool
+
 		// acked is the last result that the leader has acknowledged, and
 		// ackForwarded the last whose acknowledgement the runner has received.
 		acked        control.ResultID
@@ -356,6 +360,7 @@
 	c.tasks = make(map[runKey]*task)
 	c.results = make(map[control.ResultID]control.Result)
 	c.refusals = make(map[runKey]string)
+	c.skipped = make(map[runKey]bool)
 }
 
 // nextToken returns the fencing token of the next call.
