--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -112,10 +112,12 @@
 	}
 }
 
-// listsRun reports whether a list contains a run that the agent has, or its result.
+// listsRun reports whether a list contains a run that the agent has or was ordered to start, or
+// its result.
 func (c *Core) listsRun(list RenewLeaseResult) bool {
-	return slices.ContainsFunc(list.Tasks, func(t control.Task) bool { return c.tasks[runKey{t.ID, t.Run}] != nil }) ||
-		slices.ContainsFunc(list.Results, func(r control.Result) bool { return c.tasks[runKey{r.Task, r.Run}] != nil })
+	known := func(key runKey) bool { return c.tasks[key] != nil || c.skipped[key] }
+	return slices.ContainsFunc(list.Tasks, func(t control.Task) bool { return known(runKey{t.ID, t.Run}) }) ||
+		slices.ContainsFunc(list.Results, func(r control.Result) bool { return known(runKey{r.Task, r.Run}) })
 }
 
 // onGone handles the departure of a runner. A departure that was delayed may be that of
