Keep a start that was sent again for the longest lease of its first call

Cause: a start without an answer is sent again at the same runner and confirmed. The first call may still be executed by the next incarnation, which then has the run with the longest lease. The agent reported the run as confirmed, and gave it up by the usual lease.

--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -99,6 +99,9 @@
 	if t.phase != control.Running || t.uncertain {
 		c.log("task confirmed", "task", key.task.String(), "run", key.run, "token", t.token, "list", call.Number)
 		t.phase, t.confirmedAt, t.uncertain = control.Running, now, false
+		if t.sentAt.Equal(t.orderedAt) {
+			t.lateUntil = time.Time{}
+		}
 		c.reportDue = true
 	}
 	t.percent, t.checkpoint = listed.Percent, listed.Checkpoint
@@ -208,6 +211,6 @@
 	}
 	if expired {
 		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.lastAnswer), "until", c.requestedUntil, "clock", c.runnerClock)
-		c.dropConfirmed()
+		c.dropConfirmed(now)
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -250,8 +250,10 @@
 		start control.Start
 		phase control.Phase
 
-		// orderedAt is when the start was ordered, sentAt when it was sent last.
-		orderedAt, sentAt time.Time
+		// orderedAt is when the start was ordered, sentAt when it was sent last, and lateUntil
+		// until when a call without an answer may still start the run at another incarnation,
+		// or its lease there may last.
+		orderedAt, sentAt, lateUntil time.Time
 
 		// confirmedAt is when the runner confirmed the start. A list that was
 		// asked for before need not contain the task.
