Do not send a start without an answer again

The repetition may run, end and be acknowledged, or be refused, while the first call is still on its way; the next incarnation then executes that, beside another run or after the end.

Change: there are no repetitions. A start that a list lacks is kept for the longest lease, and refused 11.7 s after it was sent. What the repetition needed goes with it, and so does TestRepeatedStartAtSilentRunner, which has no subject any more. TestUnansweredStart asks that the start is not sent again, is not refused within the longest lease, and is refused within 12 s.

--- a/internal/runner/incarnation.go
+++ b/internal/runner/incarnation.go
@@ -140,7 +140,7 @@
 	c.nextRenewal = now.Add(renewalRetry)
 	if c.departing && c.successor == nil && call.Number == c.renewals {
 		c.log("runner ended", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number)
-		c.dropConfirmed(now)
+		c.dropConfirmed()
 	}
 }
 
@@ -159,7 +159,7 @@
 	if announced || now.Sub(c.refusedSince) >= endConfirmation {
 		c.log("runner ended", "runner", call.Runner.Name, "born", call.Runner.Incarnation, "tasks", len(c.tasks), "list", call.Number,
 			"announced", announced, "refused", now.Sub(c.refusedSince))
-		c.dropConfirmed(now)
+		c.dropConfirmed()
 	}
 }
 
@@ -172,9 +172,9 @@
 
 // dropConfirmed records that nothing runs at the runner any more, but for starts without an
 // answer: its next incarnation may execute them, and then has the longest lease.
-func (c *Core) dropConfirmed(now time.Time) {
+func (c *Core) dropConfirmed() {
 	late := c.tasks
-	maps.DeleteFunc(late, func(_ runKey, t *task) bool { return t.phase == control.Running && !now.Before(t.lateUntil) })
+	maps.DeleteFunc(late, func(_ runKey, t *task) bool { return t.phase == control.Running })
 	c.dropTasks()
 	c.tasks = late
 }
@@ -184,7 +184,7 @@
 func (c *Core) expireStarts(now time.Time) {
 	var expired []runKey
 	for key, t := range c.tasks {
-		if (t.phase == control.Starting || c.runnerGone) && now.Sub(t.sentAt) > c.longestLease()+c.config.MaxOrdersAge {
+		if t.phase == control.Starting && now.Sub(t.sentAt) > c.longestLease()+c.config.MaxOrdersAge {
 			expired = append(expired, key)
 		}
 	}
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -204,7 +204,7 @@
 		c.refuse(key, "runner silent")
 		return
 	}
-	t := &task{start: start, phase: control.Starting, orderedAt: now}
+	t := &task{start: start, phase: control.Starting}
 	c.tasks[key] = t
 	c.sendStart(now, t)
 }
@@ -274,7 +274,6 @@
 // the task runs.
 func (c *Core) awaitList(t *task) {
 	t.uncertain = true
-	t.lateUntil = t.sentAt.Add(c.longestLease() + c.config.MaxOrdersAge)
 	c.unansweredStarts++
 	c.listRequest = 0
 	c.log("start unanswered", "task", t.start.Task.String(), "run", t.start.Run, "token", c.nextToken())
@@ -400,12 +399,8 @@
 	}
 	for _, key := range c.sortedRuns() {
 		t := c.tasks[key]
-		phase := t.phase
-		if now.Before(t.lateUntil) {
-			phase = control.Starting
-		}
 		r.Tasks = append(r.Tasks, control.Task{
-			ID: key.task, Run: key.run, Phase: phase, Checkpoint: t.checkpoint, Percent: t.percent,
+			ID: key.task, Run: key.run, Phase: t.phase, Checkpoint: t.checkpoint, Percent: t.percent,
 		})
 	}
 	for _, n := range slices.Sorted(maps.Keys(c.results)) {
--- a/internal/runner/renewal.go
+++ b/internal/runner/renewal.go
@@ -99,9 +99,6 @@
 	if t.phase != control.Running || t.uncertain {
 		c.log("task confirmed", "task", key.task.String(), "run", key.run, "token", t.token, "list", call.Number)
 		t.phase, t.confirmedAt, t.uncertain = control.Running, now, false
-		if t.sentAt.Equal(t.orderedAt) {
-			t.lateUntil = time.Time{}
-		}
 		c.reportDue = true
 	}
 	t.percent, t.checkpoint = listed.Percent, listed.Checkpoint
@@ -110,18 +107,13 @@
 // applyMissing handles a task that is not in the runner's list. A start without an
 // answer has failed for good there if the list was made under a higher fencing token than
 // the start's, because the runner rejects the start from then on. Its next incarnation
-// would still execute it, so that the run must not start elsewhere yet: the start is sent
-// again, or expires. A running task has ended if the list was asked for after its start
-// was confirmed.
+// would still execute it, so that the run must not start again before it expires. A
+// running task has ended if the list was asked for after its start was confirmed.
 func (c *Core) applyMissing(now time.Time, key runKey, e RenewLeaseResult) {
 	t := c.tasks[key]
 	switch {
 	case t.uncertain && e.Call.Token > t.token:
 		t.uncertain = false
-		if c.mayRepeat(now, t) {
-			c.sendStart(now, t)
-			return
-		}
 		c.log("start fenced", "task", key.task.String(), "run", key.run, "token", t.token, "list", e.Call.Number, "age", now.Sub(t.sentAt))
 	case t.phase == control.Running && !t.uncertain && e.Call.Sent.After(t.confirmedAt):
 		delete(c.tasks, key)
@@ -131,11 +123,6 @@
 	}
 }
 
-// mayRepeat reports whether a start that has had no effect may be sent again.
-func (c *Core) mayRepeat(now time.Time, t *task) bool {
-	return c.listComplete && !t.stopWanted && !c.runner.Draining && now.Sub(t.orderedAt) <= c.config.MaxOrdersAge
-}
-
 // renewLease renews the runner's lease and asks for its list, unless there is no
 // need or a renewal is in flight. After a start without an answer it does not wait
 // for the one in flight.
@@ -211,6 +198,6 @@
 	}
 	if expired {
 		c.log("runner silent", "runner", c.runner.ID.Name, "tasks", len(c.tasks), "age", now.Sub(c.lastAnswer), "until", c.requestedUntil, "clock", c.runnerClock)
-		c.dropConfirmed(now)
+		c.dropConfirmed()
 	}
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -250,10 +250,8 @@
 		start control.Start
 		phase control.Phase
 
-		// orderedAt is when the start was ordered, sentAt when it was sent last, and lateUntil
-		// until when a call without an answer may still start the run at another incarnation,
-		// or its lease there may last.
-		orderedAt, sentAt, lateUntil time.Time
+		// sentAt is when the start was sent last.
+		sentAt time.Time
 
 		// confirmedAt is when the runner confirmed the start. A list that was
 		// asked for before need not contain the task.
