Keep what a replaced or lost agent can't tell of until its lease has expired

A start that a process of an agent had reported as not confirmed counted as gone once the agent's next process listed the runner without it, though the runner's next incarnation may still execute the first process's call.

Change: an unconfirmed run of a former process is neither ordered nor taken for gone by the present one, unless that lists it. Unconfirmed runs that are reported at a lost worker expire like those it had; a runner that is gone confirms none.

Evidence: TestUnconfirmedStartOfKilledAgent (run 2 started 1 s after run 1 was ordered), TestConfirmedRunAtLostWorker and TestStrayRunAtLostWorker (no start elsewhere within 30 s) failed before and pass.

--- a/internal/region/late_start_test.go
+++ b/internal/region/late_start_test.go
@@ -103,3 +103,57 @@
 		t.Errorf("starts %+v after run %d of the epoch before", starts, last)
 	}
 }
+
+// TestUnconfirmedStartOfKilledAgent guards against a run that starts again as soon as the agent's next process lists the runner without it.
+func TestUnconfirmedStartOfKilledAgent(t *testing.T) {
+	h := newHarness(t)
+	listed := h.orderFirst("a")
+	h.report("a", listed(control.Starting))
+	ordered, first := h.now, h.runs[taskOf("j1", 0)]
+	h.now = h.now.Add(time.Second)
+	for h.now.Sub(ordered) < longestLease {
+		h.join("b")
+		h.report("b", nil)
+		h.report("a", func(r *control.Report) { r.Incarnation = 2 })
+		h.save()
+		if run := h.runs[taskOf("j1", 0)]; run != first {
+			t.Fatalf("run %d starts %v after run %d was ordered", run, h.now.Sub(ordered), first)
+		}
+		h.now = h.now.Add(100 * time.Millisecond)
+	}
+}
+
+// TestConfirmedRunAtLostWorker guards against a task that waits for ever for a run that a lost agent has reported as running.
+func TestConfirmedRunAtLostWorker(t *testing.T) {
+	h := newHarness(t)
+	listed := h.orderFirst("a")
+	h.report("a", listed(control.Starting))
+	for began := h.now; h.now.Sub(began) < 10*time.Second; {
+		h.now = h.now.Add(500 * time.Millisecond)
+		h.core.Tick(h.now)
+		h.save()
+	}
+	h.report("a", func(r *control.Report) {
+		listed(control.Running)(r)
+		r.RunnerGone = true
+	})
+	h.startsElsewhere()
+}
+
+// TestStrayRunAtLostWorker guards against a task that waits for ever for a run that a lost agent reported as starting after its leader had given it up.
+func TestStrayRunAtLostWorker(t *testing.T) {
+	h := newHarness(t)
+	listed := h.orderFirst("a")
+	starting := listed(control.Starting)
+	h.report("a", starting)
+	id := taskOf("j1", 0)
+	first := h.runs[id]
+	h.startsElsewhere()
+	second := h.runs[id]
+	h.report("a", func(r *control.Report) {
+		r.Tasks = []control.Task{{ID: id, Run: first, Phase: control.Starting}}
+		r.RunnerGone = true
+	})
+	h.report("b", func(r *control.Report) { r.Refusals = []control.Refusal{{Task: id, Run: second, Reason: "room"}} })
+	h.startsElsewhere()
+}
--- a/internal/region/orders.go
+++ b/internal/region/orders.go
@@ -81,6 +81,7 @@
 		j, _, t := c.find(id)
 		wanted := t != nil && t.worker == w && t.run == p.run && !p.orphaned
 		switch {
+		case p.isUnknown():
 		case !wanted || t.stopping:
 			orders.Stops = append(orders.Stops, control.Stop{Task: id, Run: p.run})
 		case p.reported:
--- a/internal/region/reconcile.go
+++ b/internal/region/reconcile.go
@@ -20,7 +20,7 @@
 	}
 	for _, id := range w.taskIDs() {
 		p := w.placements[id]
-		if run, ok := present[id]; ok && run == p.run {
+		if run, ok := present[id]; ok && run == p.run || p.isUnknown() {
 			continue
 		}
 		// The run has ended if the runner listed it before, or if the agent has
@@ -81,7 +81,8 @@
 func (c *Core) addUnordered(now time.Time, w *worker, r control.Task) *placement {
 	c.addReported(now, r.ID)
 	j, _, t := c.find(r.ID)
-	p := &placement{run: r.Run, confirmed: r.Phase == control.Running, orphaned: true}
+	p := &placement{run: r.Run, confirmed: r.Phase == control.Running && !w.runnerGone, abandoned: w.lost, orphaned: true}
+	w.startsAbandoned = w.startsAbandoned || w.lost
 	if j != nil && r.ID.Step >= 0 && r.ID.Step < len(j.Job.Steps) {
 		p.request = j.Job.Steps[r.ID.Step].Request()
 	}
--- a/internal/region/worker.go
+++ b/internal/region/worker.go
@@ -64,8 +64,7 @@
 		unappliedSince   time.Time
 		unproven         bool
 
-		// startsAbandoned says that there may be runs whose starts were not confirmed before
-		// the agent was lost.
+		// startsAbandoned says that there may be placements that are abandoned or former.
 		startsAbandoned bool
 
 		// runnerUnknown says that the agent doesn't know its runner, so that it
@@ -103,8 +102,11 @@
 		confirmed bool
 
 		// startExpiry is when the run has ended if it was never confirmed, or the zero
-		// time if no start of it was ordered or reported.
-		startExpiry time.Time
+		// time if no start of it was ordered or reported. abandoned says that the agent was
+		// lost before it was confirmed, former that the agent's process was replaced, so
+		// that what the present one says of the run means nothing unless it lists it.
+		startExpiry       time.Time
+		abandoned, former bool
 
 		// sentSeq is the sequence number of the first orders to the agent's present
 		// incarnation that contained the start. It is 0 if there are none.
@@ -280,6 +282,9 @@
 	w.ordersSeq, w.applied, w.counted, w.unapplied = 0, 0, 0, 0
 	for _, p := range w.placements {
 		p.sentSeq = 0
+		if !p.confirmed && (p.reported || p.abandoned) {
+			p.former, w.startsAbandoned = true, true
+		}
 	}
 	w.markOrdersPending()
 }
@@ -308,7 +313,9 @@
 		w.listComplete = r.Complete
 		c.replan = true
 	}
-	w.confirm(r.Tasks)
+	if !r.RunnerGone {
+		w.confirm(r.Tasks)
+	}
 	if r.Complete {
 		c.reconcileTasks(now, w, r)
 	}
@@ -317,6 +324,9 @@
 	}
 }
 
+// isUnknown reports whether the agent's present process can't know of the run.
+func (p *placement) isUnknown() bool { return p.former && !p.confirmed }
+
 // confirm records which runs the runner has accepted or listed.
 func (w *worker) confirm(tasks []control.Task) {
 	for _, t := range tasks {
@@ -355,22 +365,21 @@
 		}
 		// The start may have reached the next incarnation of the runner, which then has
 		// the longest lease.
-		w.startsAbandoned = true
+		p.abandoned, w.startsAbandoned = true, true
 		if _, _, t := c.find(id); t != nil && t.worker == w && t.run == p.run {
 			t.stopping = true
 		}
 	}
 }
 
-// expireStarts makes the tasks of a worker that was lost wait again whose starts were not
-// confirmed, once their runs have ended.
+// expireStarts makes the tasks of abandoned and former placements wait again whose starts were
+// not confirmed, once their runs have ended.
 func (c *Core) expireStarts(now time.Time, w *worker) {
 	w.startsAbandoned = false
 	for _, id := range w.taskIDs() {
 		p := w.placements[id]
-		_, _, t := c.find(id)
 		switch {
-		case p.confirmed || t != nil && t.worker == w && t.run == p.run && !t.stopping:
+		case p.confirmed || !p.abandoned && !p.former:
 		case now.After(p.startExpiry):
 			c.removeRun(now, w, id, p.run, "lost")
 		default:
