--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -146,9 +146,9 @@
 		// orders.
 		Wait time.Duration `cbor:"11,keyasint,omitempty"`
 
-		// RunnerGone says that none of the runner's tasks but Tasks can still run: it has shut
-		// down, another runner answers at its address, or it did not
-		// answer until its lease had expired.
+		// RunnerGone says that none of the runner's tasks can still run, but for those in
+		// Tasks, whose starts had no answer: it has shut down, another runner answers at its
+		// address, or it did not answer until its lease had expired.
 		RunnerGone bool `cbor:"12,keyasint,omitempty"`
 
 		// Lease is how long after the report tasks may run on without orders, if their
--- a/internal/runner/late_start_test.go
+++ b/internal/runner/late_start_test.go
@@ -17,13 +17,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, report := newSlowRunner(t)
-			for range 200 {
-				s.wait(100 * time.Millisecond)
-				s.sendHeartbeat(0)
-			}
-			report.Sent = s.now
-			s.sendOrders(report, func(o *control.Orders) { o.Starts = []control.Start{start(1)} })
+			s := orderFirstLate(t)
 			call, renewal := must[runner.StartTask](s.harness), must[runner.RenewLease](s.harness)
 			clock := runner.Clock(100)
 			s.step(runner.StartResult{Call: call, Answer: runner.Accepted, Clock: &clock})
--- a/internal/runner/recut_test.go
+++ b/internal/runner/recut_test.go
@@ -76,9 +76,10 @@
 	t.Error("the task was not stopped")
 }
 
-// TestUnansweredStartAtSilentRunner guards against a run that is given up while it works: its start
-// had no answer and reached the next incarnation of a runner that is cut off.
-func TestUnansweredStartAtSilentRunner(t *testing.T) {
+// orderFirstLate orders the first run at a runner that is in touch for longer than the lease that
+// the agent assumes of it at first.
+func orderFirstLate(t *testing.T) *slowRunner {
+	t.Helper()
 	s, report := newSlowRunner(t)
 	for range 200 {
 		s.wait(100 * time.Millisecond)
@@ -86,6 +87,13 @@
 	}
 	report.Sent = s.now
 	s.sendOrders(report, func(o *control.Orders) { o.Starts = []control.Start{start(1)} })
+	return s
+}
+
+// TestUnansweredStartAtSilentRunner guards against a run that is given up while it works: its start
+// had no answer and reached the next incarnation of a runner that is cut off.
+func TestUnansweredStartAtSilentRunner(t *testing.T) {
+	s := orderFirstLate(t)
 	s.step(runner.StartResult{Call: must[runner.StartTask](s.harness), Answer: runner.NoAnswer})
 	if age := s.givenUpAfter(); age < maxLease {
 		t.Errorf("run given up after %v", age)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -185,9 +185,9 @@
 		refusedSince time.Time
 
 		// listComplete says that tasks is complete, and runnerGone that nothing runs at
-		// the runner any more, but for starts without an answer. departing says that the runner has announced its end
-		// since its last heartbeat, restarted that it was started again under its
-		// name.
+		// the runner any more, but for starts without an answer. departing says that the
+		// runner has announced its end since its last heartbeat, restarted that it was
+		// started again under its name.
 		listComplete bool
 		runnerGone   bool
 		departing    bool
